--- /dev/null
+++ b/cmd/maddermill/main.go
@@ -0,0 +1,41 @@
+// Command maddermill is a cluster scheduler: one of several controllers that
+// together place users' jobs on rented machines.
+package main
+
+import (
+	"C" // the platform's library is preloaded, which takes a link to the C library
+
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+const version = "0.1.0"
+
+func main() {
+	var config, operators string
+	root := &cobra.Command{
+		Use:           "maddermill --config FILE",
+		Short:         "A cluster scheduler: serves users' jobs and commands workers",
+		Long:          "maddermill runs one controller with the platform's settings file. Controllers\nkeep nothing on their machine: what must last is in the state service.",
+		Version:       version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if config == "" {
+				return cmd.Help()
+			}
+			return serve(cmd.Context(), config, operators)
+		},
+	}
+	root.PersistentFlags().StringVar(&config, "config", "", "the platform's settings `FILE` (TOML)")
+	root.PersistentFlags().StringVar(&operators, "operators", "", "the operators' own settings `FILE` (protobuf text format)")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Run a controller", Args: cobra.NoArgs, RunE: root.RunE},
+		checkCommand(&config, &operators), versionCommand(), jobCommand())
+	if err := root.Execute(); err != nil {
+		os.Stderr.WriteString("maddermill: " + oneLine(err) + "\n")
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/maddermill/serve.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"maddermill/internal/api"
+	"maddermill/internal/cloud"
+	"maddermill/internal/controller"
+	"maddermill/internal/http1"
+	"maddermill/internal/settings"
+	"maddermill/internal/state"
+	"maddermill/internal/transport"
+)
+
+func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
+
+func newLogger(member string) (*slog.Logger, error) {
+	levels := map[string]slog.Level{"": slog.LevelInfo, "error": slog.LevelError, "info": slog.LevelInfo, "debug": slog.LevelDebug}
+	level, ok := levels[os.Getenv("LOG_LEVEL")]
+	if !ok {
+		return nil, fmt.Errorf("LOG_LEVEL: %q is not error, info or debug", os.Getenv("LOG_LEVEL"))
+	}
+	h := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	return slog.New(h).With("member", member), nil
+}
+
+// Shares of the socket quota. Users get no more than theirs, so that workers,
+// the mesh and the outside systems can always be reached.
+const (
+	listenShare = 0.9
+	userShare   = 0.6
+)
+
+func serve(ctx context.Context, config, operators string) error {
+	set, err := settings.Load(config, operators)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(string(set.Member))
+	if err != nil {
+		return err
+	}
+	slog.SetDefault(log)
+	quota := set.Cluster.Quota
+	if quota.CPUShare > 0 && quota.CPUShare <= 1 {
+		runtime.GOMAXPROCS(1)
+	}
+	if quota.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(quota.MemoryMB * 0.7 * (1 << 20)))
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+
+	held := 16 << 20
+	if quota.MemoryMB > 0 {
+		held = int(quota.MemoryMB*(1<<20)) / 6
+	}
+	dialer, err := transport.NewDialer(held)
+	if err != nil {
+		return err
+	}
+	defer dialer.Stop()
+	count := float64(set.Cluster.Count)
+	store := state.NewClient(
+		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 8, MaxBody: held},
+		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 1, MaxBody: held},
+		set.Cluster.State.RPS*0.95/count, set.Cluster.State.WriteRPS*0.95/count, set.Cluster.State.TxnOps)
+	core := controller.New(set, store, log)
+	cl := cloud.NewClient(&http1.Client{Dialer: dialer, Addr: set.Outside.Cloud, MaxIdle: 1, MaxBody: 4 << 20}, set.Cluster.Cloud.RPS)
+
+	sockets := quota.Sockets
+	if sockets == 0 {
+		sockets = 10_000
+	}
+	server := &api.Server{Service: core, Metrics: core.Stats.Text, RetryAfter: set.Operators.RetryAfter, Log: log,
+		MaxUsers: int(userShare * float64(sockets)), MaxBusy: max(32, sockets/8)}
+	log.Info("starting", "version", version, "bind", set.Bind, "mesh", set.MeshAddr, "objectives", len(set.Cluster.Objectives))
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return core.Run(ctx, dialer, cl) })
+	g.Go(func() error { return transport.Serve(ctx, set.Bind, int(listenShare*float64(sockets)), server.Serve) })
+	err = g.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	log.Info("stopped", "err", err, "objectives", len(set.Cluster.Objectives))
+	return err
+}
--- /dev/null
+++ b/internal/controller/leader.go
@@ -0,0 +1,573 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"maddermill/internal/cloud"
+	"maddermill/internal/fleet"
+	"maddermill/internal/ledger"
+	"maddermill/internal/mesh"
+	"maddermill/internal/place"
+	"maddermill/internal/state"
+	"maddermill/wire"
+)
+
+// Cloud is what the fleet's leader needs of the cloud.
+type Cloud interface {
+	Flavors(ctx context.Context) ([]wire.Flavor, error)
+	Hire(ctx context.Context, h wire.Hire) ([]wire.MachineID, error)
+	Return(ctx context.Context, names []wire.MachineID) error
+	List(ctx context.Context) ([]wire.ListedMachine, error)
+}
+
+// The leader's lease. It is long enough to survive a few slow answers, short
+// enough that a dead leader is replaced before machines are missed.
+const (
+	leaderTTL   = 6 * time.Second
+	leaderRenew = 1500 * time.Millisecond
+)
+
+// lead tries to become the fleet's leader and does its work while it is.
+func (c *Core) lead(ctx context.Context, cl Cloud) error {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		ready := c.loaded && c.token != 0
+		_, version := c.led.Leader()
+		c.mu.Unlock()
+		if !ready || version != 0 {
+			sleep(ctx, 500*time.Millisecond)
+			continue
+		}
+		if err := c.term(ctx, cl); err != nil && ctx.Err() == nil {
+			c.log.Info("not leading", "err", err)
+			sleep(ctx, time.Second)
+		}
+	}
+	return ctx.Err()
+}
+
+// term is one time as the leader, from the lease's grant to its end.
+func (c *Core) term(ctx context.Context, cl Cloud) error {
+	lease, err := c.store.Grant(ctx, leaderTTL)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	token := c.token
+	c.mu.Unlock()
+	value, err := json.Marshal(ledger.LeaderRecord{Member: c.set.Member, Token: token})
+	if err != nil {
+		return err
+	}
+	version, err := c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Condition{{Key: ledger.LeaderKey, Version: 0}},
+		Then: []wire.Change{{Put: ledger.LeaderKey, Value: value, Lease: lease}}})
+	if err != nil {
+		return err
+	}
+	if err := c.reach(ctx, version); err != nil {
+		return err
+	}
+	c.log.Info("leading the fleet", "token", token)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for ctx.Err() == nil {
+			sleep(ctx, leaderRenew)
+			if err := c.store.Renew(ctx, lease); errors.Is(err, state.ErrNoLease) {
+				cancel(err)
+			}
+			c.mu.Lock()
+			_, now := c.led.Leader()
+			c.mu.Unlock()
+			if now != version {
+				cancel(errors.New("another leads"))
+			}
+		}
+	}()
+	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
+		units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
+	for ctx.Err() == nil {
+		if err := l.step(ctx); err != nil && ctx.Err() == nil {
+			c.log.Debug("fleet step", "err", err)
+		}
+		sleep(ctx, 500*time.Millisecond)
+	}
+	return context.Cause(ctx)
+}
+
+type unit struct {
+	wire.ListedMachine
+	listed   bool
+	hired    time.Time // or first seen
+	lastSeen time.Time // in the list
+	heard    time.Time // by any controller
+	holder   wire.MemberID
+	recall   bool
+	faulty   bool
+	usable   bool
+	idle     time.Time
+}
+
+// leader is the state of one term. A new one starts from the cloud's list.
+type leader struct {
+	c       *Core
+	cloud   Cloud
+	version wire.Revision
+	token   wire.Token
+	began   time.Time
+	hires   int
+	units   map[wire.MachineID]*unit
+	refused map[fleet.Option]time.Time // no capacity until
+	flavors map[wire.MachineSKU]wire.Flavor
+	settled time.Time // since when silence of machines counts
+
+	flavorsAt, listAt, hireAt time.Time
+	listed                    bool
+	publishedFlavors          map[wire.MachineSKU]string
+}
+
+func (l *leader) step(ctx context.Context) error {
+	now := time.Now()
+	if now.Sub(l.flavorsAt) > 20*time.Second {
+		if err := l.readFlavors(ctx); err != nil {
+			return err
+		}
+	}
+	if now.Sub(l.listAt) > 4*time.Second {
+		if err := l.readList(ctx); err != nil {
+			return err
+		}
+	}
+	l.observe(time.Now())
+	l.markLost(time.Now())
+	if err := l.finishReturns(ctx); err != nil {
+		return err
+	}
+	l.placeGangs(time.Now())
+	return l.plan(ctx, time.Now())
+}
+
+func (l *leader) readFlavors(ctx context.Context) error {
+	list, err := l.cloud.Flavors(ctx)
+	if err != nil {
+		return err
+	}
+	l.flavorsAt = time.Now()
+	l.flavors = map[wire.MachineSKU]wire.Flavor{}
+	if l.publishedFlavors == nil {
+		l.publishedFlavors = map[wire.MachineSKU]string{}
+	}
+	for _, f := range list {
+		l.flavors[f.Name] = f
+		l.c.mu.Lock()
+		known, ok := l.c.led.Flavor(f.Name)
+		l.c.mu.Unlock()
+		// Prices move all the time; what machines are does not.
+		same := known
+		same.Price, same.SpotPrice = f.Price, f.SpotPrice
+		if ok && fmt.Sprint(same) == fmt.Sprint(f) {
+			continue
+		}
+		b, err := json.Marshal(f)
+		if err != nil {
+			return err
+		}
+		if err := l.c.commit(ctx, wire.Txn{If: []wire.Condition{{Key: ledger.LeaderKey, Version: l.version}},
+			Then: []wire.Change{{Put: ledger.FlavorKey(f.Name), Value: b}}}); err != nil {
+			l.flavorsAt = time.Time{}
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *leader) readList(ctx context.Context) error {
+	list, err := l.cloud.List(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	l.listAt, l.listed = now, true
+	for _, m := range list {
+		u := l.units[m.ID]
+		if u == nil {
+			u = &unit{hired: now.Add(-m.Age.Duration())}
+			l.units[m.ID] = u
+		}
+		u.ListedMachine, u.listed, u.lastSeen = m, true, now
+	}
+	return nil
+}
+
+// observe brings together what this controller and its peers hear.
+func (l *leader) observe(now time.Time) {
+	c := l.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.contact) > 3*time.Second {
+		l.settled = now
+	}
+	note := func(m *mesh.Machine, at time.Time, by wire.MemberID) {
+		u := l.units[m.ID]
+		if u == nil {
+			u = &unit{ListedMachine: wire.ListedMachine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot}, hired: at}
+			l.units[m.ID] = u
+		}
+		if at.After(u.heard) {
+			u.Type, u.Zone, u.Spot = m.Type, m.Zone, m.Spot
+			u.heard, u.holder, u.recall, u.faulty, u.usable = at, by, m.Recall != 0, m.Faulty, m.Usable
+		}
+	}
+	for _, w := range c.workers {
+		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Faulty: c.faulty(w, now), Usable: c.usable(w, now)}
+		if !w.Recall.IsZero() {
+			m.Recall = 1
+		}
+		note(&m, w.Heard, c.set.Member)
+	}
+	for _, p := range c.peers {
+		for i := range p.status.Machines {
+			m := &p.status.Machines[i]
+			note(m, p.asked.Add(-time.Duration(m.AgeMS)*time.Millisecond), p.status.Member)
+		}
+	}
+	c.led.Holders(func(id wire.MachineID, h []ledger.Held) {
+		if l.units[id] == nil {
+			// Claims on a machine that nobody has heard in this term.
+			l.units[id] = &unit{ListedMachine: wire.ListedMachine{ID: id, Zone: h[0].Zone, State: wire.MachineRunning}, hired: now, heard: l.began}
+		}
+	})
+	for id, u := range l.units {
+		if len(c.led.HeldBy(id)) > 0 {
+			u.idle = time.Time{}
+		} else if u.idle.IsZero() {
+			u.idle = now
+		}
+	}
+	for id, w := range c.workers {
+		if now.Sub(w.Heard) > 10*time.Minute || c.led.Mark(id) == ledger.Gone && now.Sub(w.Heard) > time.Minute {
+			delete(c.workers, id)
+			delete(c.images, id)
+		}
+	}
+}
+
+// lostAfter is how long a machine may be silent. One last heard by a controller
+// that is itself silent gets the time that its worker needs to find another, and
+// as long as the controller may go on answering alone.
+func (l *leader) lostAfter(u *unit, now time.Time) time.Duration {
+	d := l.c.set.Operators.LostAfter
+	if u.holder != l.c.set.Member {
+		if p := l.c.peers[u.holder]; p == nil || now.Sub(p.asked) > 4*time.Second {
+			d += l.c.set.ReportGrace()
+		}
+	}
+	return d
+}
+
+// markLost marks the machines that are to be returned whatever is on them:
+// lost, failed, faulty, or never up.
+func (l *leader) markLost(now time.Time) {
+	c := l.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, u := range l.units {
+		if k := c.led.Mark(id); k == ledger.Leaving || k == ledger.Gone {
+			continue
+		}
+		silent := now.Sub(u.heard)
+		if s := now.Sub(l.settled); s < silent {
+			silent = s // our own silence is no sign of theirs
+		}
+		boot := l.flavors[u.Type].Boot.Duration()
+		why := ""
+		switch {
+		case u.State == wire.MachineFailed:
+			why = "failed"
+		case !u.heard.IsZero() && u.recall && silent > 2*c.set.Cluster.Workers.Report.Duration():
+			why = "taken back"
+		case !u.heard.IsZero() && silent > l.lostAfter(u, now):
+			why = "lost"
+		case u.heard.IsZero() && boot > 0 && now.Sub(u.hired) > 4*boot && now.Sub(l.settled) > l.c.set.Operators.LostAfter:
+			why = "never came up"
+		case u.faulty:
+			why = "faulty"
+		default:
+			continue
+		}
+		l.setMark(id, ledger.Leaving, why)
+	}
+}
+
+func (l *leader) setMark(id wire.MachineID, mark ledger.MachineMark, why string) *change {
+	l.c.log.Info("machine leaves", "machine", id, "mark", mark, "why", why)
+	ch := &change{draft: func(d *ledger.Draft) error { return d.SetMark(id, mark, why, l.version) }}
+	if _, v := l.c.led.Leader(); v != l.version {
+		ch.done = make(chan error, 1)
+		ch.done <- ledger.ErrStale
+		return ch
+	}
+	l.c.enqueue(ch)
+	return ch
+}
+
+// finishReturns moves marked machines on: an empty draining one leaves; a
+// leaving one is returned, and gone when the cloud has confirmed; what was
+// claimed on a gone one is released.
+func (l *leader) finishReturns(ctx context.Context) error {
+	c := l.c
+	var leaving []wire.MachineID
+	c.mu.Lock()
+	c.led.Marks(func(id wire.MachineID, k ledger.MachineMark) {
+		held := c.led.HeldBy(id)
+		switch k {
+		case ledger.Draining:
+			if len(held) == 0 {
+				l.setMark(id, ledger.Leaving, "empty")
+			}
+		case ledger.Leaving:
+			leaving = append(leaving, id)
+		case ledger.Gone:
+			delete(l.units, id)
+			l.releaseAll(id, held)
+		}
+	})
+	c.mu.Unlock()
+	slices.Sort(leaving)
+	for batch := range slices.Chunk(leaving, cloud.MaxReturn) {
+		if err := l.cloud.Return(ctx, batch); err != nil {
+			return err
+		}
+		c.mu.Lock()
+		for _, id := range batch {
+			l.setMark(id, ledger.Gone, "returned")
+		}
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+// releaseAll releases the claims on a machine that the cloud has confirmed to
+// be gone.
+func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
+	c := l.c
+	byJob := map[wire.JobID][]ledger.Claim{}
+	for _, h := range held {
+		byJob[h.Job.ID] = append(byJob[h.Job.ID], h.Claim)
+	}
+	for job, claims := range byJob {
+		c.enqueue(&change{draft: func(d *ledger.Draft) error {
+			j := c.led.Job(job)
+			if j == nil || c.led.Mark(id) != ledger.Gone {
+				return ledger.ErrStale
+			}
+			err := ledger.ErrStale
+			for _, cl := range claims {
+				for i := range cl.Count {
+					switch er := d.Exit(j, cl, cl.First+wire.TaskIndex(i), false); er {
+					case nil:
+						err = nil
+					case ledger.ErrStale:
+					default:
+						return er
+					}
+				}
+				if err == nil && j.Spec.Shape == wire.Gang && j.Spec.Tasks > 1 {
+					_ = d.StopGang(j, cl.Attempt)
+				}
+			}
+			return err
+		}})
+	}
+}
+
+// placeGangs places the gangs of several tasks, over all machines at once.
+func (l *leader) placeGangs(now time.Time) {
+	c := l.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.contact) > startContact || now.Sub(l.began) < 2*c.set.Cluster.Workers.Report.Duration() {
+		return
+	}
+	v := c.view(now)
+	for i := range v.Queue {
+		e := &v.Queue[i]
+		j := e.Job
+		if j.Spec.Shape != wire.Gang || j.Spec.Tasks-j.Done < 2 || j.Claimed > 0 || j.Pending() == 0 {
+			continue
+		}
+		parts := place.Gang(v, e)
+		if parts == nil {
+			continue
+		}
+		c.log.Info("start", "job", j.ID, "tasks", j.Pending(), "machines", len(parts))
+		id := j.ID
+		c.enqueue(&change{drop: true, until: now.Add(2 * time.Second), draft: func(d *ledger.Draft) error {
+			if j := c.led.Job(id); j != nil {
+				return d.ClaimGang(j, parts)
+			}
+			return ledger.ErrStale
+		}})
+		for _, p := range parts {
+			for _, m := range v.Machines {
+				if m.ID == p.Site.Machine {
+					m.Free = m.Free.Add(j.Need, -p.Count)
+				}
+			}
+		}
+	}
+}
+
+// plan rents and gives back.
+func (l *leader) plan(ctx context.Context, now time.Time) error {
+	c := l.c
+	settle := 2 * c.set.Cluster.Cloud.ListLag.Duration()
+	if !l.listed || now.Sub(l.hireAt) < 2*time.Second {
+		return nil
+	}
+	c.mu.Lock()
+	c.reorder(now)
+	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: c.queue, TeamRoom: c.led.TeamRoom,
+		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
+		Headroom: c.set.Operators.Headroom,
+		Refused:  func(o fleet.Option) bool { return now.Before(l.refused[o]) }}
+	for id, u := range l.units {
+		if c.led.Mark(id) != "" {
+			continue
+		}
+		f := l.flavors[u.Type]
+		booting := u.heard.IsZero()
+		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
+			Usable: (booting || u.usable || now.Sub(l.began) < settle) && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter || booting}
+		free := place.Machine{ID: id, Type: u.Type}
+		c.setRoom(&free)
+		n.Free = free.Free
+		if f.Name != "" {
+			in.Units = append(in.Units, n)
+		}
+	}
+	plan := fleet.Make(in)
+	// Machines that a predecessor rented may not be listed yet.
+	if now.Sub(l.began) < settle {
+		plan.Drain = nil
+		if l.began.Sub(c.boot) > settle {
+			plan.Hire = nil
+		}
+	}
+	for _, id := range plan.Drain {
+		l.setMark(id, ledger.Draining, "idle")
+	}
+	c.mu.Unlock()
+	for _, need := range plan.Hire {
+		if err := l.hire(ctx, need); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *leader) hire(ctx context.Context, need fleet.Need) error {
+	l.hires++
+	// The token is unique for ever, and so are names made from it.
+	name := wire.HireName(fmt.Sprintf("r-%d-%d", l.token, l.hires))
+	now := time.Now()
+	l.hireAt = now
+	count := min(need.Count, cloud.MaxHire)
+	got, err := l.cloud.Hire(ctx, wire.Hire{Request: name, Type: need.Type, Zone: need.Zone, Spot: need.Spot, Count: count})
+	l.c.log.Info("hire", "request", name, "type", need.Type, "zone", need.Zone, "spot", need.Spot, "count", count, "got", len(got), "err", err)
+	if errors.Is(err, cloud.ErrNoCapacity) || err == nil && len(got) < count {
+		l.refused[need.Option] = time.Now().Add(20 * time.Second)
+	}
+	if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+		return err
+	}
+	for _, id := range got {
+		l.units[id] = &unit{ListedMachine: wire.ListedMachine{ID: id, Type: need.Type, Zone: need.Zone, Spot: need.Spot, State: wire.MachineBooting}, hired: now}
+	}
+	return nil
+}
+
+// sweep ends jobs whose last tasks were recorded by two controllers at once.
+func (c *Core) sweep(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, 2*time.Second)
+		c.mu.Lock()
+		c.led.Active(func(j *ledger.Job) {
+			if j.Spec.Shape != wire.Service && j.Done == j.Spec.Tasks {
+				id := j.ID
+				c.enqueue(&change{drop: true, until: time.Now().Add(time.Second), draft: func(d *ledger.Draft) error {
+					if j := c.led.Job(id); j != nil {
+						return d.Finish(j)
+					}
+					return ledger.ErrStale
+				}})
+			}
+		})
+		c.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+// publish writes this controller's picture to the state service every few
+// seconds, for peers that the mesh does not reach.
+func (c *Core) publish(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, 5*time.Second)
+		if !c.isLoaded() {
+			continue
+		}
+		s := c.status()
+		b, err := json.Marshal(s)
+		if err == nil && len(b) > c.set.ValueBytes() {
+			for i := range s.Machines {
+				s.Machines[i].Images = nil
+			}
+			b, err = json.Marshal(s)
+		}
+		for err == nil && len(b) > c.set.ValueBytes() && len(s.Machines) > 0 {
+			s.Machines = s.Machines[:len(s.Machines)*3/4]
+			b, err = json.Marshal(s)
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Change{{Put: ledger.MemberKey(c.set.Member), Value: b}}}); err != nil {
+			c.log.Debug("picture not published", "err", err)
+		}
+	}
+	return ctx.Err()
+}
+
+// readPublished takes peers' published pictures where the mesh has nothing newer.
+func (c *Core) readPublished(ctx context.Context) error {
+	last := map[wire.MemberID]string{}
+	for ctx.Err() == nil {
+		sleep(ctx, time.Second)
+		c.mu.Lock()
+		for _, p := range c.set.Peers {
+			raw := c.led.Member(p.Member)
+			if raw == nil || string(raw) == last[p.Member] {
+				continue
+			}
+			last[p.Member] = string(raw)
+			now := time.Now()
+			var s mesh.Status
+			if known := c.peers[p.Member]; known != nil && now.Sub(known.asked) < 6*time.Second ||
+				json.Unmarshal(raw, &s) != nil || s.Version != mesh.Version {
+				continue
+			}
+			// Only the picture of machines: a stored value proves nothing about
+			// cancellations told since.
+			s.Loaded = false
+			c.peers[p.Member] = &peer{status: s, asked: now.Add(-time.Second), local: now}
+		}
+		c.mu.Unlock()
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,432 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/internal/workers"
+	"maddermill/wire"
+)
+
+// How long a report may wait for its exits and starts to be made durable. The
+// worker gives an answer up after 4 s and drops it if it comes later.
+const reportWait = 1500 * time.Millisecond
+
+// startContact bounds how long ago the last contact with the state service may
+// be when a start is sent.
+const startContact = 4 * time.Second
+
+// Answer to a report: a response, or a status and a hint where to go.
+type ReportAnswer struct {
+	Status   int
+	Response *wire.ReportResponse
+	Redirect wire.Redirect
+}
+
+var goElsewhere = ReportAnswer{Status: 503}
+
+// Report takes in one report and answers it.
+func (c *Core) Report(ctx context.Context, r *wire.Report) ReportAnswer {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	c.Stats.Add("reports_total", 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded || c.token == 0 {
+		return goElsewhere
+	}
+	if began.Sub(c.reliedOn()) > c.set.ReportGrace() {
+		// A cancellation may have been told meanwhile, and every answer renews
+		// the lease of tasks that must then be gone.
+		return goElsewhere
+	}
+	if c.led.Mark(r.Machine) == ledger.Gone {
+		return goElsewhere // a report from before the machine's end
+	}
+	w := c.workers[r.Machine]
+	if w == nil {
+		w = workers.NewWorker(r, began)
+		c.workers[r.Machine] = w
+		c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
+	}
+	hold, ok := c.holdToken(ctx, w, r)
+	if !ok || w.Stale(r) {
+		return goElsewhere
+	}
+	if w.Session != 0 && r.Session > w.Session {
+		c.log.Info("machine began a new session", "machine", r.Machine, "session", r.Session)
+	}
+	f := w.Take(r, c.led.HeldBy(r.Machine), hold, began)
+	c.learn(w, &f, began)
+	var waits []*change
+	for _, ch := range c.exitChanges(w, f.Exits, began) {
+		c.enqueue(ch)
+		waits = append(waits, ch)
+	}
+	if c.usable(w, began) && began.Sub(c.contact) < startContact {
+		if ch := c.startChange(w, began); ch != nil {
+			c.enqueue(ch)
+			waits = append(waits, ch)
+		}
+	}
+	if len(waits) > 0 {
+		c.mu.Unlock()
+		for _, ch := range waits {
+			select {
+			case <-ch.done:
+			case <-ctx.Done():
+			}
+		}
+		c.mu.Lock()
+	}
+	if w.Session != r.Session || w.Tally != r.Tally {
+		return goElsewhere // a newer report has been taken in meanwhile
+	}
+	now := time.Now()
+	cmds := w.Commands(r, c.led.HeldBy(r.Machine), now.Sub(c.contact) < startContact && c.led.Mark(r.Machine) != ledger.Leaving)
+	for _, cmd := range cmds {
+		if cmd.Op != wire.OpForget {
+			c.log.Info("command", "op", cmd.Op, "job", cmd.Task.Job, "task", cmd.Task.Index, "attempt", cmd.Attempt, "machine", r.Machine, "token", w.Hold)
+		}
+		if im := c.imagesOf(w); cmd.Op == wire.OpStart {
+			if j := c.led.Job(cmd.Task.Job); j != nil && !im.Has(j.Spec.Image) {
+				im.Fetching(j.Spec.Image, now)
+			}
+		}
+	}
+	c.Stats.Took("report_seconds", now.Sub(began))
+	return ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: w.Hold, Commands: cmds}}
+}
+
+// holdToken chooses the token to command a worker under: the one it is held
+// under already while the worker has seen no higher one, else a newer one of
+// ours. It may wait for that with the lock released.
+func (c *Core) holdToken(ctx context.Context, w *workers.Worker, r *wire.Report) (wire.Token, bool) {
+	if w.Hold != 0 && r.Token <= w.Hold {
+		return w.Hold, true
+	}
+	for r.Token > c.token {
+		select {
+		case c.wantToken <- r.Token:
+		default:
+		}
+		c.mu.Unlock()
+		sleep(ctx, 20*time.Millisecond)
+		c.mu.Lock()
+		if ctx.Err() != nil {
+			return 0, false
+		}
+	}
+	return c.token, true
+}
+
+func (c *Core) imagesOf(w *workers.Worker) *place.Images {
+	im := c.images[w.ID]
+	if im == nil || im.session != w.Session {
+		f, _ := c.led.Flavor(w.Type)
+		fresh := &imageState{w.Session, place.NewImages(f.CacheGB)}
+		if im == nil {
+			// Another controller may have held it in this session.
+			for _, p := range c.peers {
+				for i := range p.status.Machines {
+					if m := &p.status.Machines[i]; m.ID == w.ID && m.Session == w.Session {
+						for _, name := range m.Images {
+							fresh.images.Used(name, 0)
+						}
+					}
+				}
+			}
+		}
+		c.images[w.ID] = fresh
+		im = fresh
+	}
+	return im.images
+}
+
+// learn notes what a report tells of images and faults.
+func (c *Core) learn(w *workers.Worker, f *workers.Findings, now time.Time) {
+	im := c.imagesOf(w)
+	for _, s := range f.Seen {
+		spec := s.Held.Job.Spec
+		if s.State == wire.TaskFetching {
+			im.Fetching(spec.Image, now)
+		} else {
+			im.Used(spec.Image, spec.ImageGB)
+		}
+	}
+	for _, e := range f.Exits {
+		j := e.Held.Job
+		n := c.notes(j.ID)
+		c.log.Info("task over", "job", j.ID, "task", e.Task, "attempt", e.Held.Attempt, "machine", w.ID,
+			"cause", e.Cause, "saved", e.Saved, "session", w.Session)
+		c.Stats.Add("exits_total", 1)
+		switch e.Cause {
+		case wire.CauseDone:
+			delete(w.Errors, j.ID)
+			n.errors = 0
+			im.Used(j.Spec.Image, j.Spec.ImageGB)
+		case wire.CauseError:
+			w.Errors[j.ID] = now
+			n.errors++
+			n.avoid[w.ID] = now
+			if len(n.avoid) > 1 {
+				// It fails wherever it runs: the job is at fault, not the machines.
+				n.retry = now.Add(min(time.Minute, time.Second<<min(6, n.errors)))
+			}
+		case wire.CauseNoRoom:
+			w.NoPlace = now.Add(2 * c.set.Cluster.Workers.Report.Duration())
+		case wire.CauseBusy:
+			n.avoid[w.ID] = now
+		case wire.CauseUnknown:
+			n.retry = now.Add(5 * time.Second)
+		case wire.CauseAlone:
+			n.retry = now.Add(2 * time.Second)
+		}
+	}
+}
+
+func (c *Core) notes(id wire.JobID) *jobNotes {
+	n := c.jobs[id]
+	if n == nil {
+		n = &jobNotes{avoid: map[wire.MachineID]time.Time{}}
+		c.jobs[id] = n
+	}
+	return n
+}
+
+// avoidFor is how long a job keeps off a machine where it failed.
+const avoidFor = 3 * time.Minute
+
+// faulty reports whether a machine is to blame for its tasks' errors: jobs that
+// are not failing elsewhere fail there.
+func (c *Core) faulty(w *workers.Worker, now time.Time) bool {
+	n := 0
+	for id, at := range w.Errors {
+		if now.Sub(at) > 10*time.Minute {
+			delete(w.Errors, id)
+		} else if j := c.jobs[id]; j == nil || len(j.avoid) < 2 {
+			n++
+		}
+	}
+	return n >= 2
+}
+
+// usable reports whether a machine may be given tasks. A worker just taken over
+// must first report under our token.
+func (c *Core) usable(w *workers.Worker, now time.Time) bool {
+	_, known := c.led.Flavor(w.Type)
+	return known && w.Fresh && w.Recall.IsZero() && c.led.Mark(w.ID) == "" && !now.Before(w.NoPlace) && !c.faulty(w, now)
+}
+
+// exitChanges makes one change a job out of what is over.
+func (c *Core) exitChanges(w *workers.Worker, exits []workers.Exit, now time.Time) []*change {
+	byJob := map[*ledger.Job][]workers.Exit{}
+	var order []*ledger.Job
+	for _, e := range exits {
+		if byJob[e.Held.Job] == nil {
+			order = append(order, e.Held.Job)
+		}
+		byJob[e.Held.Job] = append(byJob[e.Held.Job], e)
+	}
+	var out []*change
+	for _, j := range order {
+		list := byJob[j]
+		out = append(out, &change{draft: func(d *ledger.Draft) error { return c.draftExits(d, j.ID, list) }})
+	}
+	return out
+}
+
+func (c *Core) draftExits(d *ledger.Draft, id wire.JobID, list []workers.Exit) error {
+	j := c.led.Job(id)
+	if j == nil {
+		return ledger.ErrStale
+	}
+	err := ledger.ErrStale
+	for _, e := range list {
+		done := e.Cause == wire.CauseDone
+		switch er := d.Exit(j, e.Held.Claim, e.Task, done); er {
+		case nil:
+			err = nil
+			if !done && j.Spec.Shape == wire.Gang && j.Spec.Tasks > 1 && j.State == ledger.Active {
+				// The gang has lost a member: its others stop and save if they
+				// still can, and all start again together.
+				_ = d.StopGang(j, e.Held.Attempt)
+			}
+		case ledger.ErrStale:
+		default:
+			return er
+		}
+	}
+	return err
+}
+
+// startChange decides what a machine is given and returns the claim to commit.
+func (c *Core) startChange(w *workers.Worker, now time.Time) *change {
+	v := c.view(now)
+	m := c.machineOf(w, now)
+	starts := place.OnRoom(v, m)
+	if len(starts) == 0 {
+		return nil
+	}
+	site := m.Site()
+	for _, s := range starts {
+		c.log.Info("start", "job", s.Job.ID, "tasks", s.Count, "machine", w.ID, "image", s.How)
+		c.Stats.Add("starts_"+string(s.How)+"_total", 1)
+	}
+	return &change{drop: true, until: now.Add(reportWait), draft: func(d *ledger.Draft) error {
+		if c.workers[w.ID] != w || w.Session != site.Session || w.Hold != site.Token {
+			return ledger.ErrStale
+		}
+		err := ledger.ErrStale
+		for _, s := range starts {
+			j := c.led.Job(s.Job.ID)
+			if j == nil {
+				continue
+			}
+			var er error
+			if j.Spec.Shape == wire.Gang {
+				er = d.ClaimGang(j, []ledger.Placed{{Site: site, Count: s.Count}})
+			} else {
+				_, er = d.Claim(j, site, s.Count)
+			}
+			if er == nil {
+				err = nil
+			} else if er == ledger.ErrFull && err != nil {
+				return er
+			}
+		}
+		return err
+	}}
+}
+
+// machineOf is a machine held here, as placement sees it.
+func (c *Core) machineOf(w *workers.Worker, now time.Time) *place.Machine {
+	m := &place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold,
+		Images: c.imagesOf(w), Usable: c.usable(w, now), Mine: true}
+	c.setRoom(m)
+	return m
+}
+
+func (c *Core) setRoom(m *place.Machine) {
+	f, _ := c.led.Flavor(m.Type)
+	m.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
+	m.Free = m.Total
+	for _, h := range c.led.HeldBy(m.ID) {
+		if h.Session >= m.Session {
+			m.Free = m.Free.Add(h.Job.Need, -h.Count)
+		}
+	}
+}
+
+// view is what placement decides from. The order of jobs is kept for a second.
+func (c *Core) view(now time.Time) *place.View {
+	if now.Sub(c.queueAt) > time.Second {
+		c.reorder(now)
+	}
+	v := &place.View{Now: now, Queue: c.queue, TeamRoom: c.led.TeamRoom, Withheld: c.withheld,
+		Limits: place.Limits{ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
+			WithholdAfter: c.set.Operators.WithholdAfter, DeferCold: 3 * c.set.Cluster.Workers.Report.Duration()}}
+	v.Machines = c.machines(now)
+	for _, m := range v.Machines {
+		if m.Mine {
+			v.Cold += m.Images.Fetches(now, c.set.Operators.FetchMark)
+		}
+	}
+	return v
+}
+
+// machines lists every machine that some controller has heard lately.
+func (c *Core) machines(now time.Time) []*place.Machine {
+	silent := 2*c.set.Cluster.Workers.Report.Duration() + 2*time.Second
+	byID := map[wire.MachineID]*place.Machine{}
+	heard := map[wire.MachineID]time.Time{}
+	for _, w := range c.workers {
+		if now.Sub(w.Heard) < silent {
+			byID[w.ID], heard[w.ID] = c.machineOf(w, now), w.Heard
+		}
+	}
+	for _, p := range c.peers {
+		for i := range p.status.Machines {
+			o := &p.status.Machines[i]
+			at := p.asked.Add(-time.Duration(o.AgeMS) * time.Millisecond)
+			if now.Sub(at) > silent || !at.After(heard[o.ID]) || c.led.Mark(o.ID) != "" {
+				continue
+			}
+			f, _ := c.led.Flavor(o.Type)
+			m := &place.Machine{ID: o.ID, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Session: o.Session, Token: o.Token,
+				Images: place.NewImages(f.CacheGB), Usable: o.Usable}
+			for _, name := range o.Images {
+				m.Images.Used(name, 0)
+			}
+			c.setRoom(m)
+			byID[o.ID], heard[o.ID] = m, at
+		}
+	}
+	out := make([]*place.Machine, 0, len(byID))
+	for _, m := range byID {
+		out = append(out, m)
+	}
+	return out
+}
+
+// reorder puts the jobs that have something to place into policy order.
+func (c *Core) reorder(now time.Time) {
+	c.queueAt = now
+	var entries []place.Entry
+	c.led.Active(func(j *ledger.Job) {
+		n := c.notes(j.ID)
+		if j.Pending() == 0 {
+			n.since = time.Time{}
+			return
+		}
+		if n.since.IsZero() {
+			n.since = now
+		}
+		for m, at := range n.avoid {
+			if now.Sub(at) > avoidFor {
+				delete(n.avoid, m)
+			}
+		}
+		entries = append(entries, place.Entry{Job: j, Retry: n.retry, Waiting: now.Sub(n.since), Avoid: func(m wire.MachineID) bool {
+			_, bad := n.avoid[m]
+			return bad
+		}})
+	})
+	for id := range c.jobs {
+		if j := c.led.Job(id); j == nil || j.State != ledger.Active {
+			delete(c.jobs, id)
+		}
+	}
+	c.markBeyond(entries)
+	place.Order(entries)
+	c.queue = entries
+	v := &place.View{Now: now, Queue: entries, TeamRoom: c.led.TeamRoom, Machines: c.machines(now),
+		Limits: place.Limits{WithholdAfter: c.set.Operators.WithholdAfter}}
+	c.withheld = place.Withhold(v, c.withheld)
+}
+
+// markBeyond marks the jobs that do not fit into their team's guarantee
+// together with the team's earlier unfinished jobs.
+func (c *Core) markBeyond(entries []place.Entry) {
+	sum := map[wire.Team]ledger.Resources{}
+	c.led.Active(func(j *ledger.Job) {
+		sum[j.Spec.Team] = sum[j.Spec.Team].Add(j.Need, j.Claimed)
+	})
+	place.Order(entries)
+	for i := range entries {
+		e := &entries[i]
+		t := c.set.Team(e.Job.Spec.Team)
+		if t == nil {
+			continue
+		}
+		s := sum[t.Name].Add(e.Job.Need, e.Job.Pending())
+		limit := ledger.NewResources(t.CPUs, t.GPUs, 0)
+		e.Beyond = t.CPUs == 0 && t.GPUs == 0 || t.CPUs > 0 && s.CPU > limit.CPU || t.GPUs > 0 && s.GPU > limit.GPU
+		if !e.Beyond {
+			sum[t.Name] = s
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/run.go
@@ -0,0 +1,34 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"maddermill/internal/mesh"
+	"maddermill/internal/transport"
+)
+
+// Run carries out the controller's duties until ctx ends or one of them fails.
+func (c *Core) Run(ctx context.Context, dialer *transport.Dialer, cl Cloud) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, duty := range []func(context.Context) error{
+		c.mirror, c.readBarriers, c.takeTokens, c.writeBatches, c.sweep, c.publish, c.readPublished,
+		func(ctx context.Context) error { return c.lead(ctx, cl) },
+		func(ctx context.Context) error {
+			return transport.Serve(ctx, c.set.MeshAddr, 8*len(c.set.Peers)+16, func(_ context.Context, conn *transport.Conn) {
+				mesh.Serve(conn, c.status)
+			})
+		},
+	} {
+		g.Go(func() error { return duty(ctx) })
+	}
+	for _, p := range c.set.Peers {
+		g.Go(func() error {
+			mesh.Ask(ctx, dialer, p.Addr, c.set.Member, time.Second, c.heardPeer)
+			return ctx.Err()
+		})
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/wire"
+)
+
+// Errors that users are told of.
+var (
+	ErrNoSuchJob = errors.New("no such job")
+	ErrNeverRuns = errors.New("can never run")
+)
+
+// Submit accepts a job, or tells of one that is known. created is true when
+// this call made it durable.
+func (c *Core) Submit(ctx context.Context, spec *wire.JobSpec) (st wire.JobStatus, created bool, err error) {
+	if !c.isLoaded() {
+		return st, false, ErrUnavailable
+	}
+	c.mu.Lock()
+	known := c.led.Job(spec.ID) != nil
+	var verdict error
+	if !known {
+		verdict = c.feasible(spec)
+	}
+	c.mu.Unlock()
+	if verdict != nil {
+		if !errors.Is(verdict, ErrNeverRuns) {
+			return st, false, verdict
+		}
+		// A job that was accepted is never refused, whatever changed since.
+		st, err := c.Status(ctx, spec.ID)
+		if errors.Is(err, ErrNoSuchJob) {
+			err = verdict
+		}
+		return st, false, err
+	}
+	if !known {
+		at := wire.UnixMillis(time.Now().UnixMilli())
+		err = c.commitNow(ctx, func(d *ledger.Draft) error { return d.Submit(spec, at) })
+		switch {
+		case err == nil:
+			c.log.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
+			c.Stats.Add("jobs_accepted_total", 1)
+			return wire.JobStatus{ID: spec.ID, Status: wire.Queued}, true, nil
+		case errors.Is(err, ledger.ErrTooLarge):
+			return st, false, errors.Join(ErrNeverRuns, err)
+		case !errors.Is(err, ledger.ErrStale):
+			return st, false, err
+		}
+	}
+	st, err = c.Status(ctx, spec.ID)
+	return st, false, err
+}
+
+// feasible tells whether a job can ever run.
+func (c *Core) feasible(s *wire.JobSpec) error {
+	t := c.set.Team(s.Team)
+	if t == nil {
+		return errors.Join(ErrNeverRuns, errors.New("unknown team"))
+	}
+	if len(c.led.Flavors()) == 0 {
+		return ErrUnavailable // machine types aren't known yet
+	}
+	need := ledger.NewResources(s.CPUs, s.GPUs, s.MemoryGB)
+	tasks := s.Tasks
+	if s.Shape == wire.Array {
+		tasks = 1
+	}
+	whole := ledger.Resources{}.Add(need, tasks)
+	limit := ledger.NewResources(t.CPUsMax, t.GPUsMax, 0)
+	if t.CPUsMax > 0 && whole.CPU > limit.CPU || t.GPUsMax > 0 && whole.GPU > limit.GPU {
+		return errors.Join(ErrNeverRuns, errors.New("over the team's limit"))
+	}
+	for _, f := range c.led.Flavors() {
+		if !ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB).Fits(need) {
+			continue
+		}
+		for _, z := range f.Zones {
+			if ledger.Allowed(s, f.Name, z, false) {
+				return nil
+			}
+		}
+	}
+	return errors.Join(ErrNeverRuns, errors.New("no allowed machine type fits a task"))
+}
+
+// Status tells a job's state, at least as new as the call.
+func (c *Core) Status(ctx context.Context, id wire.JobID) (wire.JobStatus, error) {
+	c.mu.Lock()
+	if j := c.led.Job(id); c.loaded && j != nil && j.State != ledger.Active {
+		defer c.mu.Unlock()
+		return statusOf(j), nil // it stays so for ever
+	}
+	c.mu.Unlock()
+	if err := c.Fresh(ctx); err != nil {
+		return wire.JobStatus{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.led.Job(id)
+	if j == nil {
+		return wire.JobStatus{}, ErrNoSuchJob
+	}
+	return statusOf(j), nil
+}
+
+func statusOf(j *ledger.Job) wire.JobStatus {
+	done, running := j.Done, j.Claimed
+	return wire.JobStatus{ID: j.ID, Status: j.Status(), Done: &done, Running: &running}
+}
+
+// Cancel cancels a job and tells its final state.
+func (c *Core) Cancel(ctx context.Context, id wire.JobID) (wire.JobStatus, error) {
+	st, err := c.Status(ctx, id)
+	if err != nil || st.Status == wire.Done || st.Status == wire.Cancelled {
+		return wire.JobStatus{ID: id, Status: st.Status}, err
+	}
+	err = c.commitNow(ctx, func(d *ledger.Draft) error {
+		_, err := d.Cancel(c.led.Job(id))
+		return err
+	})
+	if err != nil {
+		return wire.JobStatus{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st.Status = c.led.Job(id).Status()
+	if st.Status != wire.Done && st.Status != wire.Cancelled {
+		return wire.JobStatus{}, ErrUnavailable
+	}
+	c.log.Info("job cancelled", "job", id, "status", st.Status)
+	return wire.JobStatus{ID: id, Status: st.Status}, nil
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,218 @@
+// Package fleet decides which machines to rent and which to give back. The
+// leader carries it out; this part does no I/O.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/wire"
+)
+
+// Unit is a machine as the fleet's leader sees it.
+type Unit struct {
+	ID        wire.MachineID
+	Type      wire.MachineSKU
+	Zone      wire.Zone
+	Spot      bool
+	Booting   bool
+	Usable    bool             // takes tasks, or will when it is up
+	Free      ledger.Resources // of a usable one
+	IdleSince time.Time        // zero while it has claims
+}
+
+// Option is a kind of machine to rent.
+type Option struct {
+	Type wire.MachineSKU
+	Zone wire.Zone
+	Spot bool
+}
+
+// Need is a number of machines of a kind.
+type Need struct {
+	Option
+	Count int
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Now       time.Time
+	Flavors   map[wire.MachineSKU]wire.Flavor // at current prices
+	Units     []Unit
+	Queue     []place.Entry // in policy order
+	TeamRoom  func(j *ledger.Job, extra ledger.Resources, most int) int
+	Refused   func(Option) bool // lately without capacity
+	Spot      bool
+	Most      int // machines at once, 0: no bound
+	IdleBoots float64
+	Headroom  float64
+}
+
+// Plan is what to do.
+type Plan struct {
+	Hire  []Need
+	Drain []wire.MachineID
+}
+
+type slot struct {
+	unit Unit
+	used bool
+	new  bool
+}
+
+// Make packs the pending work, in policy order, into the machines there are or
+// that are booting, rents what the rest needs, and gives back machines idle for
+// longer than it would take to boot them again.
+func Make(in *Input) Plan {
+	var slots []*slot
+	inUse := 0
+	for _, u := range in.Units {
+		if u.Usable {
+			slots = append(slots, &slot{unit: u})
+		}
+		if u.IdleSince.IsZero() && !u.Booting {
+			inUse++
+		}
+	}
+	// Machines that are up come first, then those that boot.
+	slices.SortStableFunc(slots, func(a, b *slot) int {
+		boot := func(s *slot) int {
+			if s.unit.Booting {
+				return 1
+			}
+			return 0
+		}
+		return cmp.Or(cmp.Compare(boot(a), boot(b)), cmp.Compare(a.unit.ID, b.unit.ID))
+	})
+	var plan Plan
+	hired := map[Option]int{}
+	total := len(in.Units)
+	extra := map[wire.Team]ledger.Resources{}
+	for i := range in.Queue {
+		j := in.Queue[i].Job
+		left := in.TeamRoom(j, extra[j.Spec.Team], j.Pending())
+		if left <= 0 || in.Now.Before(in.Queue[i].Retry) {
+			continue
+		}
+		extra[j.Spec.Team] = extra[j.Spec.Team].Add(j.Need, left)
+		var zone wire.Zone // the one zone of a job that must stay together
+		if j.Spec.OneZone {
+			j.Claims(func(c ledger.Claim) bool { zone = c.Zone; return false })
+		}
+		fits := func(s *slot) int {
+			u := &s.unit
+			if !ledger.Allowed(j.Spec, u.Type, u.Zone, u.Spot) || zone != "" && u.Zone != zone {
+				return 0
+			}
+			return u.Free.Times(j.Need, left)
+		}
+		for _, s := range slots {
+			if left == 0 {
+				break
+			}
+			if n := fits(s); n > 0 {
+				s.unit.Free = s.unit.Free.Add(j.Need, -n)
+				s.used = true
+				left -= n
+				if j.Spec.OneZone {
+					zone = s.unit.Zone
+				}
+			}
+		}
+		for left > 0 && (in.Most == 0 || total < in.Most) {
+			o, ok := cheapest(in, j, zone, hired)
+			if !ok {
+				break
+			}
+			f := in.Flavors[o.Type]
+			s := &slot{unit: Unit{Type: o.Type, Zone: o.Zone, Spot: o.Spot,
+				Free: ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)}, used: true, new: true}
+			n := fits(s)
+			if n == 0 {
+				break
+			}
+			s.unit.Free = s.unit.Free.Add(j.Need, -n)
+			left -= n
+			slots = append(slots, s)
+			hired[o]++
+			total++
+			if j.Spec.OneZone {
+				zone = o.Zone
+			}
+		}
+	}
+	for o, n := range hired {
+		plan.Hire = append(plan.Hire, Need{o, n})
+	}
+	slices.SortFunc(plan.Hire, func(a, b Need) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone))
+	})
+	spare := int(in.Headroom * float64(inUse))
+	var idle []Unit
+	for _, s := range slots {
+		if !s.new && !s.used && !s.unit.Booting && !s.unit.IdleSince.IsZero() {
+			idle = append(idle, s.unit)
+		}
+	}
+	// The dearest idle machines go first, and those idle for the longest.
+	slices.SortFunc(idle, func(a, b Unit) int {
+		return cmp.Or(cmp.Compare(in.price(b.option()), in.price(a.option())), a.IdleSince.Compare(b.IdleSince))
+	})
+	for _, u := range idle[:max(0, len(idle)-spare)] {
+		boot := in.Flavors[u.Type].Boot.Duration()
+		if in.Now.Sub(u.IdleSince) > time.Duration(in.IdleBoots*float64(boot)) {
+			plan.Drain = append(plan.Drain, u.ID)
+		}
+	}
+	return plan
+}
+
+func (u *Unit) option() Option { return Option{u.Type, u.Zone, u.Spot} }
+
+func (in *Input) price(o Option) float64 {
+	f := in.Flavors[o.Type]
+	if o.Spot {
+		return f.SpotPrice
+	}
+	return f.Price
+}
+
+// cheapest chooses what to rent for a job: the lowest price for the room that
+// its tasks get, then the zone with the fewest machines.
+func cheapest(in *Input, j *ledger.Job, zone wire.Zone, hired map[Option]int) (Option, bool) {
+	perZone := map[wire.Zone]int{}
+	for _, u := range in.Units {
+		perZone[u.Zone]++
+	}
+	for o, n := range hired {
+		perZone[o.Zone] += n
+	}
+	var best Option
+	var bestPrice float64
+	found := false
+	for _, f := range in.Flavors {
+		room := ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB).Times(j.Need, j.Spec.Tasks)
+		if room == 0 {
+			continue
+		}
+		for _, z := range f.Zones {
+			for _, spot := range []bool{true, false} {
+				o := Option{f.Name, z, spot}
+				if spot && (!in.Spot || f.SpotPrice <= 0) || zone != "" && z != zone ||
+					!ledger.Allowed(j.Spec, f.Name, z, spot) || in.Refused(o) {
+					continue
+				}
+				price := in.price(o) / float64(room)
+				better := cmp.Or(cmp.Compare(price, bestPrice), cmp.Compare(perZone[z], perZone[best.Zone]),
+					cmp.Compare(o.Type, best.Type), cmp.Compare(z, best.Zone)) < 0
+				if !found || better {
+					best, bestPrice, found = o, price, true
+				}
+			}
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/ledger/draft.go
@@ -0,0 +1,592 @@
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"maddermill/wire"
+)
+
+// Errors of drafts.
+var (
+	// ErrFull: the change doesn't fit into this transaction any more.
+	ErrFull = errors.New("ledger: transaction full")
+	// ErrStale: what the change builds on is no longer so.
+	ErrStale = errors.New("ledger: no longer so")
+	// ErrTooLarge: the record would exceed what the state service takes.
+	ErrTooLarge = errors.New("ledger: record too large")
+)
+
+// Draft collects changes to one transaction over the ledger as it is.
+type Draft struct {
+	l     *Ledger
+	jobs  map[wire.JobID]*draftJob
+	marks map[wire.MachineID]MachineMark
+	usage map[wire.Team]Resources // difference to the ledger
+	conds map[string]wire.Revision
+	puts  map[string]any
+	order []string
+}
+
+type draftJob struct {
+	job    *Job
+	state  JobState
+	stop   wire.Attempt
+	spec   *wire.JobSpec
+	at     wire.UnixMillis
+	chunks map[int]*chunkRecord
+}
+
+// NewDraft starts an empty transaction.
+func (l *Ledger) NewDraft() *Draft {
+	return &Draft{l: l, jobs: map[wire.JobID]*draftJob{}, marks: map[wire.MachineID]MachineMark{},
+		usage: map[wire.Team]Resources{}, conds: map[string]wire.Revision{}, puts: map[string]any{}}
+}
+
+// Empty reports whether the draft changes nothing.
+func (d *Draft) Empty() bool { return len(d.puts) == 0 }
+
+// Conditions returns the keys that the draft was read from.
+func (d *Draft) Conditions() map[string]wire.Revision { return d.conds }
+
+func (d *Draft) job(j *Job) *draftJob {
+	w := d.jobs[j.ID]
+	if w == nil {
+		w = &draftJob{job: j, state: j.State, stop: j.Stop, spec: j.Spec, at: j.Accepted, chunks: map[int]*chunkRecord{}}
+		d.jobs[j.ID] = w
+	}
+	return w
+}
+
+// chunk returns a copy of a range's record that may be changed.
+func (w *draftJob) chunk(n int) *chunkRecord {
+	c := w.chunks[n]
+	if c == nil {
+		c = new(chunkRecord)
+		if old := w.job.chunks[n]; old != nil {
+			c.Attempt = old.Attempt
+			c.Done = slices.Clone(old.chunkRecord.Done)
+			c.Claims = slices.Clone(old.Claims)
+		}
+		w.chunks[n] = c
+	}
+	return c
+}
+
+// read conditions the transaction on a range's record as the ledger has it.
+func (d *Draft) read(j *Job, n int) {
+	var v wire.Revision
+	if c := j.chunks[n]; c != nil {
+		v = c.Version
+	}
+	d.conds[chunkKey(j.ID, n)] = v
+}
+
+func (d *Draft) write(w *draftJob, n int) {
+	d.read(w.job, n)
+	var v any = w.chunk(n)
+	if n == 0 {
+		v = w
+	}
+	d.put(chunkKey(w.job.ID, n), v)
+}
+
+func (d *Draft) put(key string, v any) {
+	if _, ok := d.puts[key]; !ok {
+		d.order = append(d.order, key)
+	}
+	d.puts[key] = v
+}
+
+// MarshalJSON writes the job's record.
+func (w *draftJob) MarshalJSON() ([]byte, error) {
+	return json.Marshal(jobRecord{Spec: w.spec, Accepted: w.at, State: w.state, Stop: w.stop, chunkRecord: *w.chunk(0)})
+}
+
+// try runs a change and undoes it when the transaction would grow too large.
+func (d *Draft) try(change func() error) error {
+	before := d.copy()
+	err := change()
+	if err == nil {
+		err = d.checkSize()
+	}
+	if err != nil {
+		*d = *before
+	}
+	return err
+}
+
+func (d *Draft) copy() *Draft {
+	b := *d
+	b.marks, b.usage, b.conds = maps.Clone(d.marks), maps.Clone(d.usage), maps.Clone(d.conds)
+	b.order = slices.Clone(d.order)
+	b.jobs = make(map[wire.JobID]*draftJob, len(d.jobs))
+	b.puts = maps.Clone(d.puts)
+	for id, w := range d.jobs {
+		k := *w
+		k.chunks = make(map[int]*chunkRecord, len(w.chunks))
+		for n, c := range w.chunks {
+			k.chunks[n] = &chunkRecord{c.Attempt, slices.Clone(c.Done), slices.Clone(c.Claims)}
+			if n > 0 && b.puts[chunkKey(id, n)] != nil {
+				b.puts[chunkKey(id, n)] = k.chunks[n]
+			}
+		}
+		b.jobs[id] = &k
+		if b.puts[jobKey(id)] != nil {
+			b.puts[jobKey(id)] = &k
+		}
+	}
+	return &b
+}
+
+func (d *Draft) checkSize() error {
+	lim := &d.l.limits
+	alone := len(d.jobs)+len(d.marks) <= 1
+	if len(d.puts) > lim.TxnOps || len(d.conds) > 4*lim.TxnOps {
+		if alone {
+			return ErrTooLarge
+		}
+		return ErrFull
+	}
+	total := 64 * len(d.conds)
+	for _, v := range d.puts {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		if len(b) > lim.ValueBytes {
+			return ErrTooLarge
+		}
+		total += len(b) + 280
+	}
+	if total > lim.TxnBytes {
+		if alone {
+			return ErrTooLarge
+		}
+		return ErrFull
+	}
+	return nil
+}
+
+// Txn returns the transaction.
+func (d *Draft) Txn() (wire.Txn, error) {
+	var t wire.Txn
+	for k, v := range d.conds {
+		t.If = append(t.If, wire.Condition{Key: k, Version: v})
+	}
+	slices.SortFunc(t.If, func(a, b wire.Condition) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	for _, k := range d.order {
+		b, err := json.Marshal(d.puts[k])
+		if err != nil {
+			return t, err
+		}
+		t.Then = append(t.Then, wire.Change{Put: k, Value: b})
+	}
+	return t, nil
+}
+
+// Submit accepts a job that isn't known yet.
+func (d *Draft) Submit(spec *wire.JobSpec, at wire.UnixMillis) error {
+	if d.l.jobs[spec.ID] != nil {
+		return ErrStale
+	}
+	return d.try(func() error {
+		if spec.Shape == wire.Gang && spec.Tasks > (d.l.limits.TxnOps-1)*d.l.limits.ChunkTasks() {
+			return fmt.Errorf("%w: a gang starts in one transaction", ErrTooLarge)
+		}
+		j := &Job{ID: spec.ID, Spec: spec, Accepted: at}
+		w := d.job(j)
+		d.write(w, 0)
+		b, err := json.Marshal(w)
+		if err != nil {
+			return err
+		}
+		// Every task may come to have a claim of its own in the record.
+		if len(b)+min(spec.Tasks, d.l.limits.ChunkTasks())*claimBytes > d.l.limits.ValueBytes {
+			return ErrTooLarge
+		}
+		return nil
+	})
+}
+
+// Cancel makes the job cancelled, unless it is done: the answer tells.
+func (d *Draft) Cancel(j *Job) (JobState, error) {
+	w := d.job(j)
+	if w.state != Active {
+		return w.state, nil
+	}
+	err := d.try(func() error {
+		w := d.job(j)
+		w.state = Cancelled
+		d.write(w, 0)
+		return nil
+	})
+	return Cancelled, err
+}
+
+// StopGang asks every holder to stop the gang's attempts up to the current one.
+func (d *Draft) StopGang(j *Job, upTo wire.Attempt) error {
+	return d.try(func() error {
+		w := d.job(j)
+		if w.state != Active || w.stop >= upTo || upTo > w.chunk(0).Attempt {
+			return ErrStale
+		}
+		w.stop = upTo
+		d.write(w, 0)
+		return nil
+	})
+}
+
+// Site is the machine that a start is claimed on.
+type Site struct {
+	Machine wire.MachineID
+	Type    wire.MachineSKU
+	Zone    wire.Zone
+	Spot    bool
+	Session wire.Session
+	Token   wire.Token // of the controller that holds the machine
+}
+
+// Allowed reports whether the job may run on a machine at all.
+func Allowed(s *wire.JobSpec, typ wire.MachineSKU, zone wire.Zone, spot bool) bool {
+	return (s.Types == nil || slices.Contains(s.Types, typ)) &&
+		(s.Zone == nil || *s.Zone == zone) && (s.Spot || !spot)
+}
+
+// ZoneRoom returns how many more of the job's tasks may be claimed in a zone.
+func (j *Job) ZoneRoom(zone wire.Zone) int {
+	return zoneRoom(j.Spec, zone, func(f func(*Claim)) {
+		j.Claims(func(c Claim) bool { f(&c); return true })
+	})
+}
+
+func zoneRoom(s *wire.JobSpec, zone wire.Zone, each func(func(*Claim))) int {
+	room := s.Tasks
+	if s.Spread {
+		room = (s.Tasks + 1) / 2
+	}
+	here, elsewhere := 0, 0
+	each(func(c *Claim) {
+		if c.Zone == zone {
+			here += c.Count
+		} else {
+			elsewhere += c.Count
+		}
+	})
+	if s.OneZone && elsewhere > 0 {
+		return 0
+	}
+	return max(0, room-here)
+}
+
+func (w *draftJob) eachClaim(f func(*Claim)) {
+	for n, c := range w.job.chunks {
+		if w.chunks[n] == nil {
+			for i := range c.Claims {
+				f(&c.Claims[i])
+			}
+		}
+	}
+	for _, c := range w.chunks {
+		for i := range c.Claims {
+			f(&c.Claims[i])
+		}
+	}
+}
+
+// Claim claims up to count pending tasks of an array or service for a site and
+// returns how many it got.
+func (d *Draft) Claim(j *Job, site Site, count int) (int, error) {
+	got := 0
+	err := d.try(func() error {
+		w := d.job(j)
+		if j.Spec.Shape == wire.Gang {
+			return fmt.Errorf("ledger: %s is a gang", j.ID)
+		}
+		if err := d.checkSite(w, site); err != nil {
+			return err
+		}
+		count = min(count, zoneRoom(j.Spec, site.Zone, w.eachClaim), d.teamRoom(j, count))
+		size := d.l.limits.ChunkTasks()
+		for n := 0; n*size < j.Spec.Tasks && got < count; n++ {
+			if c := j.chunks[n]; c != nil && w.chunks[n] == nil && c.doneCount()+c.claimed() >= min(size, j.Spec.Tasks-n*size) {
+				continue
+			}
+			c := w.chunk(n)
+			free := pendingIn(c, n, size, j.Spec.Tasks, count-got)
+			if len(free) == 0 {
+				continue
+			}
+			if got > 0 && n > 1 && len(d.puts) >= d.l.limits.TxnOps-1 {
+				break // the rest goes into a later transaction
+			}
+			c.Attempt++
+			claimRuns(c, free, c.Attempt, site)
+			got += len(free)
+			d.write(w, n)
+			if n > 0 {
+				// Cancellation and zones are read from the job's own record;
+				// with a zone rule every start must also move it.
+				d.read(j, 0)
+				if j.Spec.OneZone || j.Spec.Spread {
+					d.write(w, 0)
+				}
+			}
+		}
+		if got == 0 {
+			return ErrStale
+		}
+		d.touchTeam(j, got, site.Token)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return got, nil
+}
+
+// Placed is one machine's part of a gang.
+type Placed struct {
+	Site  Site
+	Count int
+}
+
+// ClaimGang claims every unfinished task of a gang at once, as a new attempt.
+// It refuses while any claim of an earlier attempt stands.
+func (d *Draft) ClaimGang(j *Job, parts []Placed) error {
+	return d.try(func() error {
+		w := d.job(j)
+		if j.Spec.Shape != wire.Gang {
+			return fmt.Errorf("ledger: %s is not a gang", j.ID)
+		}
+		standing := false
+		w.eachClaim(func(*Claim) { standing = true })
+		if standing {
+			return ErrStale
+		}
+		size := d.l.limits.ChunkTasks()
+		attempt := w.chunk(0).Attempt + 1
+		var todo []wire.TaskIndex
+		for n := 0; n*size < j.Spec.Tasks; n++ {
+			todo = append(todo, pendingIn(w.chunk(n), n, size, j.Spec.Tasks, size)...)
+		}
+		total := len(todo)
+		if total == 0 || d.teamRoom(j, total) < total {
+			return ErrStale
+		}
+		w.chunk(0).Attempt = attempt
+		d.write(w, 0)
+		for _, p := range parts {
+			if err := d.checkSite(w, p.Site); err != nil {
+				return err
+			}
+			if p.Count > len(todo) || p.Count > zoneRoom(j.Spec, p.Site.Zone, w.eachClaim) {
+				return ErrStale
+			}
+			for i := 0; i < p.Count; {
+				n := int(todo[i]) / size
+				k := i
+				for k < p.Count && int(todo[k])/size == n {
+					k++
+				}
+				claimRuns(w.chunk(n), todo[i:k], attempt, p.Site)
+				d.write(w, n)
+				i = k
+			}
+			todo = todo[p.Count:]
+		}
+		if len(todo) > 0 {
+			return ErrStale // all or none
+		}
+		d.touchTeam(j, total, parts[0].Site.Token)
+		return nil
+	})
+}
+
+func (d *Draft) checkSite(w *draftJob, site Site) error {
+	if w.state != Active || !Allowed(w.spec, site.Type, site.Zone, site.Spot) {
+		return ErrStale
+	}
+	if d.l.marks[site.Machine] != "" || d.marks[site.Machine] != "" {
+		return ErrStale
+	}
+	d.conds[machineKey(site.Machine)] = 0 // no mark, ever
+	return nil
+}
+
+// teamRoom returns how many of the job's tasks, at most max, its team's limit
+// leaves room for.
+func (d *Draft) teamRoom(j *Job, max int) int {
+	limit, capped := d.l.limits.TeamMax[j.Spec.Team]
+	if !capped {
+		return max
+	}
+	used := d.l.usage[j.Spec.Team].Add(d.usage[j.Spec.Team], 1)
+	return teamRoom(limit, used, j.Need, max)
+}
+
+func teamRoom(limit, used, need Resources, most int) int {
+	left := Resources{limit.CPU - used.CPU, limit.GPU - used.GPU, 0}
+	need.Memory = 0
+	if limit.CPU == 0 {
+		need.CPU = 0
+	}
+	if limit.GPU == 0 {
+		need.GPU = 0
+	}
+	return max(0, left.Times(need, most))
+}
+
+// TeamRoom returns how many of the job's tasks its team's limit leaves room
+// for, beside its claims and extra.
+func (l *Ledger) TeamRoom(j *Job, extra Resources, most int) int {
+	limit, capped := l.limits.TeamMax[j.Spec.Team]
+	if !capped {
+		return most
+	}
+	return teamRoom(limit, l.usage[j.Spec.Team].Add(extra, 1), j.Need, most)
+}
+
+// touchTeam makes starts of a capped team exclude each other: what a team uses
+// is the sum of its claims, which is complete up to the version of this record.
+func (d *Draft) touchTeam(j *Job, n int, by wire.Token) {
+	team := j.Spec.Team
+	d.usage[team] = d.usage[team].Add(j.Need, n)
+	if _, capped := d.l.limits.TeamMax[team]; capped {
+		d.conds[teamKey(team)] = d.l.teamVer[team]
+		d.put(teamKey(team), teamRecord{by})
+	}
+}
+
+// Exit removes a task's claim on proof that the task is gone, and with done
+// records that it has completed. A claim other than the one proven gone is not
+// touched.
+func (d *Draft) Exit(j *Job, claim Claim, task wire.TaskIndex, done bool) error {
+	return d.try(func() error {
+		w := d.job(j)
+		size := d.l.limits.ChunkTasks()
+		n := int(task) / size
+		c := w.chunk(n)
+		at := slices.IndexFunc(c.Claims, func(o Claim) bool {
+			return o.covers(task) && o.Attempt == claim.Attempt && o.Machine == claim.Machine &&
+				o.Session == claim.Session && o.Token == claim.Token
+		})
+		if at < 0 {
+			return ErrStale
+		}
+		c.Claims = without(c.Claims, at, task)
+		d.usage[j.Spec.Team] = d.usage[j.Spec.Team].Add(j.Need, -1)
+		d.write(w, n)
+		if !done || j.Spec.Shape == wire.Service {
+			return nil
+		}
+		i := int(task) % size
+		for len(c.Done) <= i/8 {
+			c.Done = append(c.Done, 0)
+		}
+		c.Done[i/8] |= 1 << (i % 8)
+		if w.state == Active && w.allDone(size) {
+			w.state = Done
+			d.write(w, 0)
+		}
+		return nil
+	})
+}
+
+func (w *draftJob) allDone(size int) bool {
+	total := 0
+	for n := 0; n*size < w.spec.Tasks; n++ {
+		var c *Chunk
+		if r := w.chunks[n]; r != nil {
+			c = &Chunk{chunkRecord: *r}
+		} else if c = w.job.chunks[n]; c == nil {
+			return false
+		}
+		total += c.doneCount()
+	}
+	return total == w.spec.Tasks
+}
+
+// SetMark moves a machine along its way out. by is the version of the leader's
+// record under which the leader acts.
+func (d *Draft) SetMark(m wire.MachineID, mark MachineMark, why string, by wire.Revision) error {
+	return d.try(func() error {
+		old := d.l.marks[m]
+		order := func(k MachineMark) int { return slices.Index([]MachineMark{"", Draining, Leaving, Gone}, k) }
+		if d.l.leaderVer != by || order(mark) <= order(old) || mark == Gone && old != Leaving {
+			return ErrStale
+		}
+		d.marks[m] = mark
+		d.conds[LeaderKey] = by
+		d.conds[machineKey(m)] = d.l.markVer[m]
+		d.put(machineKey(m), machineRecord{mark, why})
+		return nil
+	})
+}
+
+func pendingIn(c *chunkRecord, n, size, tasks, most int) []wire.TaskIndex {
+	length := min(size, tasks-n*size)
+	taken := make([]bool, length)
+	for _, cl := range c.Claims {
+		for i := range cl.Count {
+			taken[int(cl.First)+i-n*size] = true
+		}
+	}
+	view := Chunk{chunkRecord: *c}
+	var free []wire.TaskIndex
+	for i := 0; i < length && len(free) < most; i++ {
+		if !taken[i] && !view.isDone(i) {
+			free = append(free, wire.TaskIndex(n*size+i))
+		}
+	}
+	return free
+}
+
+// claimRuns adds claims for tasks in ascending order, one a run.
+func claimRuns(c *chunkRecord, tasks []wire.TaskIndex, a wire.Attempt, s Site) {
+	for i, t := range tasks {
+		if i > 0 && tasks[i-1] == t-1 {
+			c.Claims[len(c.Claims)-1].Count++
+			continue
+		}
+		c.Claims = append(c.Claims, Claim{t, 1, a, s.Machine, s.Zone, s.Session, s.Token})
+	}
+}
+
+// without takes one task out of the claim at index i, splitting it if need be.
+func without(claims []Claim, i int, task wire.TaskIndex) []Claim {
+	c := claims[i]
+	left, right := c, c
+	left.Count = int(task - c.First)
+	right.First, right.Count = task+1, c.Count-left.Count-1
+	var parts []Claim
+	for _, p := range []Claim{left, right} {
+		if p.Count > 0 {
+			parts = append(parts, p)
+		}
+	}
+	return slices.Replace(claims, i, i+1, parts...)
+}
+
+// Finish makes a job done whose tasks all are. Two controllers that each record
+// the last task of a different range see the other's still open, and neither
+// ends the job: this does.
+func (d *Draft) Finish(j *Job) error {
+	return d.try(func() error {
+		w := d.job(j)
+		if w.state != Active || j.Spec.Shape == wire.Service || !w.allDone(d.l.limits.ChunkTasks()) {
+			return ErrStale
+		}
+		w.state = Done
+		d.write(w, 0)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,377 @@
+package ledger
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/bits"
+	"strconv"
+	"strings"
+
+	"maddermill/wire"
+)
+
+// Limits are what the state service takes, and the rules of teams.
+type Limits struct {
+	ValueBytes int
+	TxnOps     int
+	TxnBytes   int
+	TeamMax    map[wire.Team]Resources // capped teams only; 0 in an amount: none
+}
+
+// claimBytes is what a claim takes of a value at the most, names included.
+const claimBytes = 96
+
+// ChunkTasks is how many tasks share a record: in the worst case each has a
+// claim of its own, and all must fit beside the job's description.
+func (l *Limits) ChunkTasks() int {
+	return min(400, max(4, (l.ValueBytes-1200)/claimBytes))
+}
+
+// Chunk is a range of a job's tasks as last seen.
+type Chunk struct {
+	Version wire.Revision
+	chunkRecord
+}
+
+func (c *Chunk) isDone(i int) bool {
+	return i/8 < len(c.chunkRecord.Done) && c.chunkRecord.Done[i/8]&(1<<(i%8)) != 0
+}
+
+func (c *Chunk) doneCount() int {
+	n := 0
+	for _, b := range c.chunkRecord.Done {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
+
+func (c *Chunk) claimed() int {
+	n := 0
+	for i := range c.Claims {
+		n += c.Claims[i].Count
+	}
+	return n
+}
+
+// Job is a job as last seen.
+type Job struct {
+	ID       wire.JobID
+	Spec     *wire.JobSpec
+	Need     Resources // of one task
+	Accepted wire.UnixMillis
+	State    JobState
+	Stop     wire.Attempt
+	Done     int // tasks done
+	Claimed  int // tasks claimed
+	chunks   map[int]*Chunk
+}
+
+// Pending is the number of tasks that are neither done nor claimed.
+func (j *Job) Pending() int {
+	if j.State != Active {
+		return 0
+	}
+	return j.Spec.Tasks - j.Done - j.Claimed
+}
+
+// Attempt is the last attempt given out to the job's first tasks; for a gang,
+// to all of them.
+func (j *Job) Attempt() wire.Attempt { return j.chunks[0].Attempt }
+
+// Claims calls f for every claim until it returns false.
+func (j *Job) Claims(f func(Claim) bool) {
+	for _, c := range j.chunks {
+		for _, cl := range c.Claims {
+			if !f(cl) {
+				return
+			}
+		}
+	}
+}
+
+// Status is what users are told.
+func (j *Job) Status() wire.Status {
+	switch {
+	case j.State == Cancelled:
+		return wire.Cancelled
+	case j.State == Done:
+		return wire.Done
+	case j.Claimed > 0:
+		return wire.Running
+	}
+	return wire.Queued
+}
+
+// Held is a claim seen from its machine.
+type Held struct {
+	Job *Job
+	Claim
+	chunk int
+}
+
+// Ledger is the mirror. It isn't safe for concurrent use.
+type Ledger struct {
+	limits   Limits
+	revision wire.Revision
+	jobs     map[wire.JobID]*Job
+	active   map[wire.JobID]*Job
+	orphans  map[string]Event // ranges that arrived before their job
+	held     map[wire.MachineID][]Held
+	usage    map[wire.Team]Resources
+	teamVer  map[wire.Team]wire.Revision
+	marks    map[wire.MachineID]MachineMark
+	markVer  map[wire.MachineID]wire.Revision
+	members  map[wire.MemberID]json.RawMessage
+	flavors  map[wire.MachineSKU]wire.Flavor
+
+	cancelled wire.Revision // of the newest cancellation, or later
+
+	token     TokenRecord
+	tokenVer  wire.Revision
+	leader    LeaderRecord
+	leaderVer wire.Revision
+}
+
+// Event is one key as it now is.
+type Event struct {
+	Key     string
+	Value   json.RawMessage // nil: deleted
+	Version wire.Revision
+}
+
+// New returns an empty ledger.
+func New(limits Limits) *Ledger {
+	return &Ledger{limits: limits,
+		jobs: map[wire.JobID]*Job{}, active: map[wire.JobID]*Job{}, orphans: map[string]Event{},
+		held: map[wire.MachineID][]Held{}, usage: map[wire.Team]Resources{},
+		teamVer: map[wire.Team]wire.Revision{}, marks: map[wire.MachineID]MachineMark{},
+		markVer: map[wire.MachineID]wire.Revision{}, members: map[wire.MemberID]json.RawMessage{},
+		flavors: map[wire.MachineSKU]wire.Flavor{}}
+}
+
+// Revision is how far the ledger has caught up.
+func (l *Ledger) Revision() wire.Revision { return l.revision }
+
+// CaughtUp notes that all changes up to r have been applied.
+func (l *Ledger) CaughtUp(r wire.Revision) { l.revision = max(l.revision, r) }
+
+// Job returns a job, or nil.
+func (l *Ledger) Job(id wire.JobID) *Job { return l.jobs[id] }
+
+// Active calls f for every job that is neither done nor cancelled.
+func (l *Ledger) Active(f func(*Job)) {
+	for _, j := range l.active {
+		f(j)
+	}
+}
+
+// Counts returns the number of jobs known and of those active.
+func (l *Ledger) Counts() (known, active int) { return len(l.jobs), len(l.active) }
+
+// HeldBy returns the claims on a machine. The slice must not be kept.
+func (l *Ledger) HeldBy(m wire.MachineID) []Held { return l.held[m] }
+
+// Holders calls f for every machine with claims.
+func (l *Ledger) Holders(f func(wire.MachineID, []Held)) {
+	for m, h := range l.held {
+		f(m, h)
+	}
+}
+
+// Used returns what a team's claims take.
+func (l *Ledger) Used(t wire.Team) Resources { return l.usage[t] }
+
+// Mark returns a machine's mark, "" if it has none.
+func (l *Ledger) Mark(m wire.MachineID) MachineMark { return l.marks[m] }
+
+// Marks calls f for every marked machine.
+func (l *Ledger) Marks(f func(wire.MachineID, MachineMark)) {
+	for m, k := range l.marks {
+		f(m, k)
+	}
+}
+
+// Member returns what a controller last published.
+func (l *Ledger) Member(m wire.MemberID) json.RawMessage { return l.members[m] }
+
+// Flavor returns a machine type as the leader has published it.
+func (l *Ledger) Flavor(t wire.MachineSKU) (wire.Flavor, bool) {
+	f, ok := l.flavors[t]
+	return f, ok
+}
+
+// Flavors returns all machine types. The map must not be changed.
+func (l *Ledger) Flavors() map[wire.MachineSKU]wire.Flavor { return l.flavors }
+
+// LastCancel is at or above the revision of every cancellation that the ledger
+// holds. A controller tells a user of one only when its ledger holds it.
+func (l *Ledger) LastCancel() wire.Revision { return l.cancelled }
+
+// Token returns the token counter and its version.
+func (l *Ledger) Token() (TokenRecord, wire.Revision) { return l.token, l.tokenVer }
+
+// Leader returns the fleet's leader and the record's version; 0: there is none.
+func (l *Ledger) Leader() (LeaderRecord, wire.Revision) { return l.leader, l.leaderVer }
+
+// Apply takes over one change. Changes may arrive twice, never out of order for
+// one key except through a second reading; older ones are passed over.
+func (l *Ledger) Apply(e Event) {
+	if err := l.apply(e); err != nil {
+		slog.Error("record not understood", "key", e.Key, "err", err)
+	}
+}
+
+func (l *Ledger) apply(e Event) error {
+	rest, ok := strings.CutPrefix(e.Key, jobPrefix)
+	if ok {
+		return l.applyJob(wire.JobID(rest), e)
+	}
+	if rest, ok = strings.CutPrefix(e.Key, chunkPrefix); ok {
+		id, n, ok := splitChunkKey(rest)
+		if !ok {
+			return strconv.ErrSyntax
+		}
+		j := l.jobs[id]
+		if j == nil {
+			l.orphans[e.Key] = e
+			return nil
+		}
+		return l.applyChunk(j, n, e)
+	}
+	if rest, ok = strings.CutPrefix(e.Key, machinePrefix); ok {
+		var r machineRecord
+		m := wire.MachineID(rest)
+		if e.Value == nil || e.Version <= l.markVer[m] {
+			return nil
+		}
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return err
+		}
+		l.marks[m], l.markVer[m] = r.Mark, e.Version
+		return nil
+	}
+	if rest, ok = strings.CutPrefix(e.Key, teamPrefix); ok {
+		name, err := strconv.Unquote(rest)
+		if err != nil {
+			return err
+		}
+		t := wire.Team(name)
+		l.teamVer[t] = max(l.teamVer[t], e.Version)
+		return nil
+	}
+	if rest, ok = strings.CutPrefix(e.Key, memberPrefix); ok {
+		l.members[wire.MemberID(rest)] = e.Value
+		return nil
+	}
+	if rest, ok = strings.CutPrefix(e.Key, flavorPrefix); ok && e.Value != nil {
+		var f wire.Flavor
+		if err := json.Unmarshal(e.Value, &f); err != nil {
+			return err
+		}
+		l.flavors[f.Name] = f
+		return nil
+	}
+	switch e.Key {
+	case TokenKey:
+		if e.Version > l.tokenVer && e.Value != nil {
+			l.tokenVer = e.Version
+			return json.Unmarshal(e.Value, &l.token)
+		}
+	case LeaderKey:
+		if e.Value == nil {
+			l.leader, l.leaderVer = LeaderRecord{}, 0
+			return nil
+		}
+		l.leaderVer = e.Version
+		return json.Unmarshal(e.Value, &l.leader)
+	}
+	return nil
+}
+
+func (l *Ledger) applyJob(id wire.JobID, e Event) error {
+	j := l.jobs[id]
+	if e.Value == nil || j != nil && e.Version <= j.chunks[0].Version {
+		return nil
+	}
+	var r jobRecord
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return err
+	}
+	if r.Spec == nil {
+		return strconv.ErrSyntax
+	}
+	if j == nil {
+		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{},
+			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB)}
+		l.jobs[id] = j
+	}
+	if r.State == Cancelled && j.State != Cancelled {
+		l.cancelled = max(l.cancelled, e.Version)
+	}
+	j.State, j.Stop = r.State, r.Stop
+	l.replace(j, 0, &Chunk{e.Version, r.chunkRecord})
+	if j.State == Active {
+		l.active[id] = j
+	} else {
+		delete(l.active, id)
+	}
+	if j.Spec.Tasks > l.limits.ChunkTasks() && len(l.orphans) > 0 {
+		for key, o := range l.orphans {
+			if oid, n, ok := splitChunkKey(strings.TrimPrefix(key, chunkPrefix)); ok && oid == id {
+				delete(l.orphans, key)
+				if err := l.applyChunk(j, n, o); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) applyChunk(j *Job, n int, e Event) error {
+	if old := j.chunks[n]; e.Value == nil || old != nil && e.Version <= old.Version {
+		return nil
+	}
+	c := &Chunk{Version: e.Version}
+	if err := json.Unmarshal(e.Value, &c.chunkRecord); err != nil {
+		return err
+	}
+	l.replace(j, n, c)
+	return nil
+}
+
+// replace swaps a range and keeps every index true.
+func (l *Ledger) replace(j *Job, n int, c *Chunk) {
+	team := j.Spec.Team
+	if old := j.chunks[n]; old != nil {
+		j.Done -= old.doneCount()
+		k := old.claimed()
+		j.Claimed -= k
+		l.usage[team] = l.usage[team].Add(j.Need, -k)
+		for i := range old.Claims {
+			l.unhold(old.Claims[i].Machine, j, n)
+		}
+	}
+	j.chunks[n] = c
+	j.Done += c.doneCount()
+	k := c.claimed()
+	j.Claimed += k
+	l.usage[team] = l.usage[team].Add(j.Need, k)
+	for _, cl := range c.Claims {
+		l.held[cl.Machine] = append(l.held[cl.Machine], Held{j, cl, n})
+	}
+}
+
+func (l *Ledger) unhold(m wire.MachineID, j *Job, n int) {
+	kept := l.held[m][:0]
+	for _, h := range l.held[m] {
+		if h.Job != j || h.chunk != n {
+			kept = append(kept, h)
+		}
+	}
+	if len(kept) == 0 {
+		delete(l.held, m)
+		return
+	}
+	l.held[m] = kept
+}
--- /dev/null
+++ b/internal/ledger/records.go
@@ -0,0 +1,176 @@
+// Package ledger mirrors the durable records of the state service and holds
+// their legal transitions. The rules that users measure live here: a Draft
+// refuses what would break one, and its transaction is conditioned on every
+// record that the decision was read from.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"maddermill/wire"
+)
+
+// Prefix is the part of the key space that belongs to maddermill. The version
+// of the layout is in it.
+const Prefix = "mm1/"
+
+// Keys of the durable records.
+const (
+	LeaderKey = Prefix + "leader"
+	TokenKey  = Prefix + "token"
+
+	jobPrefix     = Prefix + "j/"
+	chunkPrefix   = Prefix + "t/"
+	machinePrefix = Prefix + "m/"
+	teamPrefix    = Prefix + "u/"
+	memberPrefix  = Prefix + "n/"
+	flavorPrefix  = Prefix + "f/"
+)
+
+func jobKey(id wire.JobID) string { return jobPrefix + string(id) }
+func chunkKey(id wire.JobID, n int) string {
+	if n == 0 {
+		return jobKey(id)
+	}
+	return fmt.Sprintf("%s%s/%d", chunkPrefix, id, n)
+}
+func machineKey(id wire.MachineID) string { return machinePrefix + string(id) }
+func teamKey(t wire.Team) string          { return teamPrefix + strconv.Quote(string(t)) }
+
+// MemberKey is where a controller publishes its picture.
+func MemberKey(m wire.MemberID) string { return memberPrefix + string(m) }
+
+// FlavorKey is where the leader publishes a machine type.
+func FlavorKey(t wire.MachineSKU) string { return flavorPrefix + strconv.Quote(string(t)) }
+
+// Resources are amounts in millionths, so that sums are exact.
+type Resources struct{ CPU, GPU, Memory int64 }
+
+// NewResources converts from the protocol's decimals.
+func NewResources(cpus, gpus, memory float64) Resources {
+	m := func(v float64) int64 { return int64(math.Round(v * 1e6)) }
+	return Resources{m(cpus), m(gpus), m(memory)}
+}
+
+// Add returns r + n·o.
+func (r Resources) Add(o Resources, n int) Resources {
+	k := int64(n)
+	return Resources{r.CPU + k*o.CPU, r.GPU + k*o.GPU, r.Memory + k*o.Memory}
+}
+
+// Fits reports whether o fits into r.
+func (r Resources) Fits(o Resources) bool {
+	return o.CPU <= r.CPU && o.GPU <= r.GPU && o.Memory <= r.Memory
+}
+
+// Times returns how many o fit into r, at most max.
+func (r Resources) Times(o Resources, max int) int {
+	n := int64(max)
+	for _, p := range [][2]int64{{r.CPU, o.CPU}, {r.GPU, o.GPU}, {r.Memory, o.Memory}} {
+		if p[1] > 0 {
+			n = min(n, p[0]/p[1])
+		}
+	}
+	return int(n)
+}
+
+// JobState is a job's durable state.
+type JobState string
+
+// The durable states: a job is active until it is done or cancelled, for ever.
+const (
+	Active    JobState = ""
+	Cancelled JobState = "cancelled"
+	Done      JobState = "done"
+)
+
+// Claim says that tasks [First, First+Count) may be on a machine. It is written
+// before any of them is started there and goes only when all are proven gone.
+type Claim struct {
+	First   wire.TaskIndex
+	Count   int
+	Attempt wire.Attempt
+	Machine wire.MachineID
+	Zone    wire.Zone
+	Session wire.Session
+	Token   wire.Token
+}
+
+// MarshalJSON writes the claim as an array: values are small at some places.
+func (c Claim) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{c.First, c.Count, c.Attempt, c.Machine, c.Zone, c.Session, c.Token})
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (c *Claim) UnmarshalJSON(b []byte) error {
+	fields := []any{&c.First, &c.Count, &c.Attempt, &c.Machine, &c.Zone, &c.Session, &c.Token}
+	n := len(fields)
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return err
+	}
+	if len(fields) != n {
+		return fmt.Errorf("ledger: claim of %d fields", len(fields))
+	}
+	return nil
+}
+
+func (c *Claim) covers(t wire.TaskIndex) bool {
+	return t >= c.First && int(t-c.First) < c.Count
+}
+
+// chunkRecord is the durable part of a range of a job's tasks.
+type chunkRecord struct {
+	Attempt wire.Attempt `json:"a,omitempty"` // last attempt given out
+	Done    []byte       `json:"d,omitempty"` // a bit a task
+	Claims  []Claim      `json:"c,omitempty"`
+}
+
+// jobRecord is a job; the first range of its tasks is kept in it.
+type jobRecord struct {
+	Spec     *wire.JobSpec   `json:"spec"`
+	Accepted wire.UnixMillis `json:"at"`
+	State    JobState        `json:"state,omitempty"`
+	Stop     wire.Attempt    `json:"stop,omitempty"` // gangs up to this attempt are to stop
+	chunkRecord
+}
+
+// MachineMark is how far a machine is on its way out.
+type MachineMark string
+
+// The marks of machines that leave. There is no way back.
+const (
+	Draining MachineMark = "draining" // nothing new; return it when empty
+	Leaving  MachineMark = "leaving"  // being returned, tasks or not
+	Gone     MachineMark = "gone"     // the cloud has confirmed
+)
+
+type machineRecord struct {
+	Mark MachineMark `json:"s"`
+	Why  string      `json:"why,omitempty"`
+}
+
+type teamRecord struct {
+	By wire.Token `json:"by"`
+}
+
+// TokenRecord is the counter that tokens are taken from.
+type TokenRecord struct {
+	Last wire.Token    `json:"n"`
+	By   wire.MemberID `json:"by"`
+}
+
+// LeaderRecord names the fleet's leader.
+type LeaderRecord struct {
+	Member wire.MemberID `json:"by"`
+	Token  wire.Token    `json:"token"`
+}
+
+func splitChunkKey(rest string) (wire.JobID, int, bool) {
+	id, n, ok := strings.Cut(rest, "/")
+	i, err := strconv.Atoi(n)
+	return wire.JobID(id), i, ok && err == nil && i > 0
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,148 @@
+// Package mesh carries what controllers tell each other: liveness and hints for
+// placement, as CBOR frames. No rule depends on a message arriving.
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"maddermill/internal/transport"
+	"maddermill/wire"
+)
+
+// Version is the version of the frames' content. Others are refused.
+const Version = 1
+
+// maxFrame bounds a frame; a picture of some thousand machines fits.
+const maxFrame = 512 << 10
+
+// Machine is a machine that a controller holds.
+type Machine struct {
+	ID      wire.MachineID  `cbor:"1,keyasint" json:"i"`
+	Type    wire.MachineSKU `cbor:"2,keyasint" json:"t"`
+	Zone    wire.Zone       `cbor:"3,keyasint" json:"z"`
+	Spot    bool            `cbor:"4,keyasint,omitempty" json:"l,omitempty"`
+	Session wire.Session    `cbor:"5,keyasint" json:"s"`
+	Token   wire.Token      `cbor:"6,keyasint" json:"k"`
+	AgeMS   int64           `cbor:"7,keyasint" json:"a"` // since its last report
+	Usable  bool            `cbor:"8,keyasint,omitempty" json:"u,omitempty"`
+	Recall  int64           `cbor:"9,keyasint,omitempty" json:"r,omitempty"` // ms until taken
+	Faulty  bool            `cbor:"10,keyasint,omitempty" json:"f,omitempty"`
+	Images  []wire.Image    `cbor:"11,keyasint,omitempty" json:"c,omitempty"`
+}
+
+// Status is a controller's picture.
+type Status struct {
+	Version   int           `cbor:"1,keyasint" json:"v"`
+	Member    wire.MemberID `cbor:"2,keyasint" json:"by"`
+	Boot      int64         `cbor:"3,keyasint" json:"b"`           // tells one run of a member from the next
+	Revision  wire.Revision `cbor:"4,keyasint" json:"rev"`         // of its ledger
+	Cancelled wire.Revision `cbor:"5,keyasint" json:"cx"`          // no cancellation it told is newer
+	ContactMS int64         `cbor:"6,keyasint" json:"ct"`          // since it last reached the state service
+	Loaded    bool          `cbor:"7,keyasint" json:"ld"`          // its ledger has been read whole
+	Machines  []Machine     `cbor:"8,keyasint" json:"m,omitempty"` // that it holds
+}
+
+// Answer is a peer's status with the time at which it was asked for, which is
+// the latest time it can be relied on to describe.
+type Answer struct {
+	Status Status
+	Asked  time.Time
+}
+
+// Serve answers one connection with the status that describe gives.
+func Serve(c *transport.Conn, describe func() Status) {
+	r := bufio.NewReader(c)
+	for {
+		c.SetReadDeadline(time.Now().Add(30 * time.Second))
+		var ask Status
+		if err := read(r, &ask); err != nil {
+			return
+		}
+		if err := write(c, describe()); err != nil {
+			return
+		}
+	}
+}
+
+// Ask keeps asking a peer every interval until ctx ends.
+func Ask(ctx context.Context, d *transport.Dialer, addr string, self wire.MemberID, interval time.Duration, got func(Answer)) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		_ = ask(ctx, d, addr, self, tick.C, got)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+func ask(ctx context.Context, d *transport.Dialer, addr string, self wire.MemberID, tick <-chan time.Time, got func(Answer)) error {
+	dialling, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	c, err := d.Dial(dialling, addr)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		asked := time.Now()
+		if err := write(c, Status{Version: Version, Member: self}); err != nil {
+			return err
+		}
+		c.SetReadDeadline(asked.Add(2 * time.Second))
+		var s Status
+		if err := read(r, &s); err != nil {
+			return err
+		}
+		got(Answer{s, asked})
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick:
+		}
+	}
+}
+
+func write(c *transport.Conn, s Status) error {
+	b, err := cbor.Marshal(s)
+	if err != nil {
+		return err
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
+	_, err = c.Write(append(frame, b...))
+	return err
+}
+
+func read(r *bufio.Reader, s *Status) error {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxFrame {
+		return fmt.Errorf("mesh: frame of %d bytes", n)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(b, s); err != nil {
+		return err
+	}
+	if s.Version != Version {
+		return errors.New("mesh: other version")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,351 @@
+// Package place is the design's placement path: on a report of free room, jobs
+// in policy order are each offered a task whose image the machine caches, else
+// one being fetched there, else a capped cold start. It does no I/O and is told
+// the time.
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/wire"
+)
+
+// Limits of placement, from the settings.
+type Limits struct {
+	ColdStarts    int           // fetches in flight at a controller's machines
+	FetchMark     time.Duration // how long a start counts as fetching unseen
+	WithholdAfter time.Duration // how long a gang heads the order before room is kept
+	DeferCold     time.Duration // how long a task waits for a machine that caches its image
+}
+
+// Machine is a machine as placement sees it.
+type Machine struct {
+	ID      wire.MachineID
+	Type    wire.MachineSKU
+	Zone    wire.Zone
+	Spot    bool
+	Session wire.Session
+	Token   wire.Token // the holding controller's
+	Total   ledger.Resources
+	Free    ledger.Resources
+	Images  *Images
+	Usable  bool // may be given tasks
+	Mine    bool // reports to this controller
+}
+
+// Site is the machine as claims name it.
+func (m *Machine) Site() ledger.Site {
+	return ledger.Site{Machine: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: m.Session, Token: m.Token}
+}
+
+// Images is the estimate of one machine's image cache, least recently used
+// first, and of the fetches under way there.
+type Images struct {
+	capacity float64
+	cached   []cachedImage
+	fetching map[wire.Image]time.Time // when last known to be under way
+}
+
+type cachedImage struct {
+	name wire.Image
+	gb   float64
+}
+
+// NewImages returns the estimate of an empty cache.
+func NewImages(capacityGB float64) *Images {
+	return &Images{capacity: capacityGB, fetching: map[wire.Image]time.Time{}}
+}
+
+// Has reports whether the image is believed to be cached.
+func (c *Images) Has(name wire.Image) bool {
+	return slices.ContainsFunc(c.cached, func(i cachedImage) bool { return i.name == name })
+}
+
+// Used notes that a task with the image is past its fetch.
+func (c *Images) Used(name wire.Image, gb float64) {
+	delete(c.fetching, name)
+	c.cached = slices.DeleteFunc(c.cached, func(i cachedImage) bool { return i.name == name })
+	c.cached = append(c.cached, cachedImage{name, gb})
+	sum := 0.0
+	for _, i := range c.cached {
+		sum += i.gb
+	}
+	for sum > c.capacity && len(c.cached) > 1 {
+		sum -= c.cached[0].gb
+		c.cached = c.cached[1:]
+	}
+}
+
+// Fetching notes that the image is being fetched.
+func (c *Images) Fetching(name wire.Image, now time.Time) { c.fetching[name] = now }
+
+// Underway reports whether the image is being fetched, as far as known.
+func (c *Images) Underway(name wire.Image) bool { _, ok := c.fetching[name]; return ok }
+
+// Fetches counts the fetches under way after dropping marks older than age.
+func (c *Images) Fetches(now time.Time, age time.Duration) int {
+	for name, since := range c.fetching {
+		if now.Sub(since) > age {
+			delete(c.fetching, name)
+		}
+	}
+	return len(c.fetching)
+}
+
+// Names lists the cached images, most recently used last.
+func (c *Images) Names() []wire.Image {
+	names := make([]wire.Image, len(c.cached))
+	for i, im := range c.cached {
+		names[i] = im.name
+	}
+	return names
+}
+
+// Entry is a job in policy order.
+type Entry struct {
+	Job     *ledger.Job
+	Beyond  bool // beyond its team's guarantee
+	Retry   time.Time
+	Avoid   func(wire.MachineID) bool
+	Waiting time.Duration // how long it has been pending
+}
+
+// Order sorts entries by the job policy: priority, work within a guarantee
+// before work beyond one, then arrival.
+func Order(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int {
+		beyond := func(e Entry) int {
+			if e.Beyond {
+				return 1
+			}
+			return 0
+		}
+		return cmp.Or(
+			cmp.Compare(a.Job.Spec.Priority.Rank(), b.Job.Spec.Priority.Rank()),
+			cmp.Compare(beyond(a), beyond(b)),
+			cmp.Compare(a.Job.Accepted, b.Job.Accepted),
+			cmp.Compare(a.Job.ID, b.Job.ID))
+	})
+}
+
+// How a start gets its image.
+type How string
+
+// The ways, best first.
+const (
+	Cached   How = "cached"
+	Underway How = "underway"
+	Cold     How = "cold"
+)
+
+// Start is a decision to start tasks of a job on the machine.
+type Start struct {
+	Job   *ledger.Job
+	Count int
+	How   How
+}
+
+// View is what a decision is made from.
+type View struct {
+	Now      time.Time
+	Limits   Limits
+	Queue    []Entry // in policy order
+	TeamRoom func(j *ledger.Job, extra ledger.Resources, most int) int
+	Machines []*Machine // all known, to see where images are cached
+	Cold     int        // fetches in flight at this controller's machines
+	Withheld map[wire.MachineID]wire.JobID
+}
+
+// OnRoom decides what a machine that reports free room is given.
+func OnRoom(v *View, m *Machine) []Start {
+	if !m.Usable {
+		return nil
+	}
+	var starts []Start
+	free, cold := m.Free, v.Cold
+	fetches := m.Images.Fetches(v.Now, v.Limits.FetchMark)
+	teamTaken := map[wire.Team]ledger.Resources{}
+	for i := range v.Queue {
+		e := &v.Queue[i]
+		j := e.Job
+		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
+			continue
+		}
+		if !eligible(e, v.Now, m) || parts(j) > 1 {
+			continue
+		}
+		n := min(free.Times(j.Need, j.Pending()), j.ZoneRoom(m.Zone))
+		if n <= 0 {
+			continue
+		}
+		// What this pass has given the team isn't in the ledger yet.
+		n = v.TeamRoom(j, teamTaken[j.Spec.Team], n)
+		if n <= 0 {
+			continue
+		}
+		how := Cached
+		switch {
+		case m.Images.Has(j.Spec.Image):
+		case m.Images.Underway(j.Spec.Image):
+			how = Underway
+		case fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m):
+			how = Cold
+			fetches++
+			cold++
+		default:
+			continue
+		}
+		free = free.Add(j.Need, -n)
+		teamTaken[j.Spec.Team] = teamTaken[j.Spec.Team].Add(j.Need, n)
+		starts = append(starts, Start{j, n, how})
+	}
+	return starts
+}
+
+func eligible(e *Entry, now time.Time, m *Machine) bool {
+	j := e.Job
+	return j.Pending() > 0 && !now.Before(e.Retry) && ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) &&
+		(e.Avoid == nil || !e.Avoid(m.ID))
+}
+
+// parts is how many tasks must start together.
+func parts(j *ledger.Job) int {
+	if j.Spec.Shape != wire.Gang {
+		return 1
+	}
+	return j.Spec.Tasks - j.Done
+}
+
+// waitsForCached reports whether another machine caches the image and has room:
+// it will report within a round and take the task without a fetch.
+func (v *View) waitsForCached(e *Entry, here *Machine) bool {
+	if e.Waiting > v.Limits.DeferCold {
+		return false
+	}
+	for _, m := range v.Machines {
+		if m != here && m.ID != here.ID && m.Usable && m.Images.Has(e.Job.Spec.Image) && m.Free.Fits(e.Job.Need) &&
+			eligible(e, v.Now, m) && e.Job.ZoneRoom(m.Zone) > 0 {
+			if keep, ok := v.Withheld[m.ID]; !ok || keep == e.Job.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Gang places a whole gang over all machines, or returns nil. Machines that
+// cache the image go first, then those that fetch it, then idle ones.
+func Gang(v *View, e *Entry) []ledger.Placed {
+	j := e.Job
+	need := j.Pending()
+	if parts(j) != need || v.TeamRoom(j, ledger.Resources{}, need) < need {
+		return nil // an earlier attempt is still on its machines
+	}
+	type option struct {
+		m    *Machine
+		room int
+		rank int
+	}
+	zones := map[wire.Zone][]option{}
+	for _, m := range v.Machines {
+		keep, withheld := v.Withheld[m.ID]
+		if !m.Usable || !eligible(e, v.Now, m) || withheld && keep != j.ID {
+			continue
+		}
+		o := option{m, m.Free.Times(j.Need, need), 2}
+		if m.Images.Has(j.Spec.Image) {
+			o.rank = 0
+		} else if m.Images.Underway(j.Spec.Image) {
+			o.rank = 1
+		}
+		if o.room > 0 {
+			zones[m.Zone] = append(zones[m.Zone], o)
+			zones[""] = append(zones[""], o)
+		}
+	}
+	try := func(options []option) []ledger.Placed {
+		slices.SortFunc(options, func(a, b option) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
+		})
+		left := need
+		taken := map[wire.Zone]int{}
+		var out []ledger.Placed
+		for _, o := range options {
+			n := min(o.room, left)
+			if j.Spec.Spread {
+				n = min(n, (j.Spec.Tasks+1)/2-taken[o.m.Zone])
+			}
+			if n <= 0 {
+				continue
+			}
+			taken[o.m.Zone] += n
+			left -= n
+			out = append(out, ledger.Placed{Site: o.m.Site(), Count: n})
+		}
+		if left > 0 {
+			return nil
+		}
+		return out
+	}
+	if !j.Spec.OneZone {
+		return try(zones[""])
+	}
+	names := make([]wire.Zone, 0, len(zones))
+	for z := range zones {
+		if z != "" {
+			names = append(names, z)
+		}
+	}
+	slices.Sort(names)
+	for _, z := range names {
+		if out := try(zones[z]); out != nil {
+			return out
+		}
+	}
+	return nil
+}
+
+// Withhold chooses the machines whose freed room is kept for gangs that have
+// headed the order for too long: as many as could hold them, those with the
+// least on them first. kept is the choice so far; it is held on to.
+func Withhold(v *View, kept map[wire.MachineID]wire.JobID) map[wire.MachineID]wire.JobID {
+	out := map[wire.MachineID]wire.JobID{}
+	for i := range v.Queue {
+		e := &v.Queue[i]
+		j := e.Job
+		if j.Spec.Shape != wire.Gang || j.Pending() == 0 || e.Waiting < v.Limits.WithholdAfter || v.Now.Before(e.Retry) {
+			continue
+		}
+		need := min(parts(j), v.TeamRoom(j, ledger.Resources{}, parts(j)))
+		if need < parts(j) {
+			continue
+		}
+		var options []*Machine
+		for _, m := range v.Machines {
+			if _, taken := out[m.ID]; !taken && m.Usable && eligible(e, v.Now, m) && m.Total.Fits(j.Need) {
+				options = append(options, m)
+			}
+		}
+		score := func(m *Machine) int64 {
+			s := m.Total.CPU - m.Free.CPU
+			if kept[m.ID] == j.ID {
+				s -= m.Total.CPU
+			}
+			return s
+		}
+		slices.SortFunc(options, func(a, b *Machine) int {
+			return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.ID, b.ID))
+		})
+		for _, m := range options {
+			if need <= 0 {
+				break
+			}
+			out[m.ID] = j.ID
+			need -= m.Total.Times(j.Need, need)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/client.go
@@ -0,0 +1,236 @@
+// Package state is the client of the state service: reads, transactions, leases
+// and watches within the request and change budgets.
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"maddermill/internal/http1"
+	"maddermill/wire"
+)
+
+// Errors of the state service. After ErrUnknown the request may have been
+// executed, or may yet be.
+var (
+	ErrRefused  = errors.New("state: refused, not executed")
+	ErrUnknown  = errors.New("state: no answer, outcome unknown")
+	ErrNotFound = errors.New("state: no such key")
+	ErrTooOld   = errors.New("state: revision too old to watch from")
+	ErrNoLease  = errors.New("state: no such lease")
+	ErrInvalid  = errors.New("state: request not accepted")
+)
+
+// Conflict is a transaction whose conditions did not hold.
+type Conflict struct {
+	Failed   []string
+	Revision wire.Revision
+}
+
+func (c *Conflict) Error() string { return fmt.Sprintf("state: conflict on %v", c.Failed) }
+
+// Store is what the rest of the service needs of the state service.
+type Store interface {
+	Revision(ctx context.Context) (wire.Revision, error)
+	Get(ctx context.Context, key string) (wire.Item, error)
+	List(ctx context.Context, prefix, after string, limit int) (wire.ItemPage, error)
+	Commit(ctx context.Context, t wire.Txn) (wire.Revision, error)
+	Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error)
+	Grant(ctx context.Context, ttl time.Duration) (wire.LeaseID, error)
+	Renew(ctx context.Context, id wire.LeaseID) error
+}
+
+// Limits of a transaction besides its number of changes.
+const (
+	ConditionsPerChange = 4
+	TxnBytes            = 60 << 10 // under the service's 64 KiB, with room for framing
+)
+
+// Client speaks the protocol.
+type Client struct {
+	http     *http1.Client
+	watch    *http1.Client
+	requests *rate.Limiter
+	changes  *rate.Limiter
+}
+
+// requestTimeout is how long an answer is waited for. Usual answers take under
+// 10 ms, slow ones some hundred.
+const requestTimeout = 1500 * time.Millisecond
+
+// NewClient returns a client that keeps to its share of the budgets.
+func NewClient(short, long *http1.Client, requestRate, changeRate float64, txnOps int) *Client {
+	burst := max(txnOps, int(math.Ceil(changeRate)))
+	return &Client{http: short, watch: long,
+		requests: rate.NewLimiter(rate.Limit(requestRate), max(1, int(requestRate/2))),
+		changes:  rate.NewLimiter(rate.Limit(changeRate), burst)}
+}
+
+func (c *Client) do(ctx context.Context, method, path, query string, body any) (*http1.Response, error) {
+	if err := c.requests.Wait(ctx); err != nil {
+		return nil, errors.Join(ErrRefused, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return exchange(ctx, c.http, method, path, query, body)
+}
+
+func exchange(ctx context.Context, h *http1.Client, method, path, query string, body any) (*http1.Response, error) {
+	q := &http1.Request{Method: method, Path: path, Query: query}
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Join(ErrInvalid, err)
+		}
+		q.Body = b
+	}
+	p, err := h.Do(ctx, q)
+	switch {
+	case errors.Is(err, http1.ErrNotSent):
+		return nil, errors.Join(ErrRefused, err)
+	case err != nil:
+		return nil, errors.Join(ErrUnknown, err)
+	case p.Status == 429 || p.Status == 503:
+		return nil, ErrRefused
+	}
+	return p, nil
+}
+
+func decode[T any](p *http1.Response) (T, error) {
+	var v T
+	if err := json.Unmarshal(p.Body, &v); err != nil {
+		return v, errors.Join(ErrUnknown, err)
+	}
+	return v, nil
+}
+
+func unexpected(p *http1.Response) error {
+	return fmt.Errorf("%w: status %d: %.200s", ErrInvalid, p.Status, p.Body)
+}
+
+// Revision reads the service's revision: all that had been committed before the
+// call is at or below it.
+func (c *Client) Revision(ctx context.Context) (wire.Revision, error) {
+	page, err := c.List(ctx, "~", "", 1)
+	return page.Revision, err
+}
+
+// Get reads one key.
+func (c *Client) Get(ctx context.Context, key string) (wire.Item, error) {
+	p, err := c.do(ctx, "GET", "/store/"+key, "", nil)
+	if err != nil {
+		return wire.Item{}, err
+	}
+	switch p.Status {
+	case 200:
+		return decode[wire.Item](p)
+	case 404:
+		return wire.Item{}, ErrNotFound
+	}
+	return wire.Item{}, unexpected(p)
+}
+
+// List reads a page of keys with a prefix.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) (wire.ItemPage, error) {
+	q := "starts=" + prefix + "&most=" + strconv.Itoa(limit)
+	if after != "" {
+		q += "&from=" + after
+	}
+	p, err := c.do(ctx, "GET", "/store", q, nil)
+	if err != nil {
+		return wire.ItemPage{}, err
+	}
+	if p.Status != 200 {
+		return wire.ItemPage{}, unexpected(p)
+	}
+	return decode[wire.ItemPage](p)
+}
+
+// Commit runs a transaction. Its error is a *Conflict when conditions failed.
+func (c *Client) Commit(ctx context.Context, t wire.Txn) (wire.Revision, error) {
+	if n := len(t.Then); n > 0 {
+		if err := c.changes.WaitN(ctx, n); err != nil {
+			return 0, errors.Join(ErrRefused, err)
+		}
+	}
+	if t.If == nil {
+		t.If = []wire.Condition{}
+	}
+	if t.Then == nil {
+		t.Then = []wire.Change{}
+	}
+	p, err := c.do(ctx, "POST", "/multi", "", t)
+	if err != nil {
+		return 0, err
+	}
+	switch p.Status {
+	case 200, 409:
+		r, err := decode[wire.TxnResult](p)
+		if err == nil && p.Status == 409 {
+			err = &Conflict{r.Failed, r.Revision}
+		}
+		return r.Revision, err
+	}
+	var problem wire.Problem
+	if json.Unmarshal(p.Body, &problem); problem.Error == "no such lease" {
+		return 0, ErrNoLease
+	}
+	return 0, unexpected(p)
+}
+
+// Watch waits for changes after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error) {
+	if err := c.requests.Wait(ctx); err != nil {
+		return wire.Events{}, errors.Join(ErrRefused, err)
+	}
+	// An open watch that hears nothing is given up: the connection may be dead
+	// without saying so.
+	ctx, cancel := context.WithTimeout(ctx, wait+3*time.Second)
+	defer cancel()
+	q := fmt.Sprintf("starts=%s&from=%d&wait_ms=%d", prefix, after, wait.Milliseconds())
+	p, err := exchange(ctx, c.watch, "GET", "/changes", q, nil)
+	if err != nil {
+		return wire.Events{}, err
+	}
+	switch p.Status {
+	case 200:
+		return decode[wire.Events](p)
+	case 410:
+		return wire.Events{}, ErrTooOld
+	}
+	return wire.Events{}, unexpected(p)
+}
+
+// Grant asks for a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (wire.LeaseID, error) {
+	p, err := c.do(ctx, "POST", "/leases", "", wire.LeaseRequest{TTLMillis: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	if p.Status/100 != 2 {
+		return 0, unexpected(p)
+	}
+	g, err := decode[wire.LeaseGrant](p)
+	return g.Lease, err
+}
+
+// Renew keeps a lease.
+func (c *Client) Renew(ctx context.Context, id wire.LeaseID) error {
+	p, err := c.do(ctx, "POST", fmt.Sprintf("/leases/%d/renew", id), "", nil)
+	switch {
+	case err != nil:
+		return err
+	case p.Status == 404:
+		return ErrNoLease
+	case p.Status/100 != 2:
+		return unexpected(p)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,233 @@
+// Package workers reconciles workers' reports with the ledger: by level, so that
+// whatever was lost on the way is made up for by the next report.
+package workers
+
+import (
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/wire"
+)
+
+type claimID struct {
+	task    wire.TaskID
+	attempt wire.Attempt
+}
+
+// Worker is what a controller knows of a worker that reports to it. Nothing of
+// it is durable: another controller starts from the ledger and one report round.
+type Worker struct {
+	ID      wire.MachineID
+	Type    wire.MachineSKU
+	Zone    wire.Zone
+	Spot    bool
+	Session wire.Session
+	Tally   wire.Tally
+	Hold    wire.Token // the token that this controller commands it under
+	Fresh   bool       // its last report was sent after it had accepted Hold
+	Heard   time.Time  // when its last report came
+	Recall  time.Time  // when the cloud takes it, zero if unknown
+	First   time.Time  // when it was first heard
+
+	NoPlace time.Time                  // nothing is placed there until then
+	Errors  map[wire.JobID]time.Time   // jobs whose tasks failed there
+	stop    map[claimID]bool           // tasks told to leave
+	sent    map[claimID]wire.Tally     // by which report's answer a start went out
+	running map[claimID]wire.TaskState // as last reported
+	since   map[claimID]time.Time      // when a task was first seen running
+}
+
+// NewWorker returns a worker first heard now.
+func NewWorker(r *wire.Report, now time.Time) *Worker {
+	return &Worker{ID: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, First: now,
+		Errors: map[wire.JobID]time.Time{}, stop: map[claimID]bool{},
+		sent: map[claimID]wire.Tally{}, running: map[claimID]wire.TaskState{}, since: map[claimID]time.Time{}}
+}
+
+// Stale reports whether a report is older than one already taken. A network
+// that was cut may deliver reports minutes late.
+func (w *Worker) Stale(r *wire.Report) bool {
+	return r.Session < w.Session || r.Session == w.Session && r.Tally <= w.Tally
+}
+
+// Exit is a claim proven to be over.
+type Exit struct {
+	Held  ledger.Held
+	Task  wire.TaskIndex
+	Cause wire.Cause // "" when the task is just not there
+	Saved bool
+	Ran   time.Duration // how long it was seen running, 0 if unknown
+}
+
+// Seen is a task seen on the machine, in some state, with its claim.
+type Seen struct {
+	Held  ledger.Held
+	Task  wire.TaskIndex
+	State wire.TaskState
+}
+
+// Findings is what a report tells.
+type Findings struct {
+	Exits []Exit
+	Seen  []Seen
+}
+
+// Take takes in a report that is not stale and tells which claims it proves to
+// be over.
+//
+// A claim is over when the report shows its attempt ended; when its session has
+// passed; or when the task is not there in a report that was sent under our
+// token, if the start can't be under way: it was claimed under a lower token,
+// whose holder's answers the worker now drops, or we never sent it, or the
+// report was begun after the answer that carried it.
+func (w *Worker) Take(r *wire.Report, held []ledger.Held, hold wire.Token, now time.Time) Findings {
+	if r.Session != w.Session {
+		clear(w.stop)
+		clear(w.sent)
+		clear(w.running)
+		clear(w.since)
+	}
+	w.Session, w.Tally, w.Heard, w.Hold = r.Session, r.Tally, now, hold
+	w.Type, w.Zone, w.Spot = r.Type, r.Zone, r.Spot
+	w.Fresh = r.Token == hold
+	w.Recall = time.Time{}
+	if r.Notice != nil {
+		w.Recall = now.Add(r.Notice.Duration())
+	}
+	there := make(map[claimID]*wire.TaskReport, len(r.Tasks))
+	clear(w.running)
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id := claimID{t.Task, t.Attempt}
+		there[id] = t
+		w.running[id] = t.State
+		if _, ok := w.since[id]; t.State == wire.TaskRunning && !ok {
+			w.since[id] = now
+		}
+	}
+	var f Findings
+	for _, h := range held {
+		for i := range h.Count {
+			task := h.First + wire.TaskIndex(i)
+			id := claimID{wire.TaskID{Job: h.Job.ID, Index: task}, h.Attempt}
+			switch t := there[id]; {
+			case h.Session < r.Session:
+				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
+			case h.Session > r.Session:
+				// The report is from before the claim's session.
+			case t != nil && t.State == wire.TaskExited:
+				e := Exit{Held: h, Task: task, Cause: t.Cause, Saved: t.Saved}
+				if since, ok := w.since[id]; ok {
+					e.Ran = now.Sub(since)
+				}
+				f.Exits = append(f.Exits, e)
+			case t != nil:
+				f.Seen = append(f.Seen, Seen{h, task, t.State})
+			case !w.Fresh:
+			case h.Token < hold:
+				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
+			case h.Token == hold && !w.wanted(h):
+				if sent, ok := w.sent[id]; !ok || r.Tally > sent {
+					f.Exits = append(f.Exits, Exit{Held: h, Task: task})
+				}
+			}
+		}
+	}
+	for id := range w.since {
+		if there[id] == nil {
+			delete(w.since, id)
+		}
+	}
+	for id := range w.stop {
+		if there[id] == nil {
+			delete(w.stop, id)
+		}
+	}
+	return f
+}
+
+// wanted reports whether a claim's tasks should be on the machine.
+func (w *Worker) wanted(h ledger.Held) bool {
+	return h.Job.State == ledger.Active && (h.Job.Spec.Shape != wire.Gang || h.Job.Stop < h.Attempt)
+}
+
+// Stop marks a claim's tasks to be told to leave, saving first if they can.
+func (w *Worker) Stop(h ledger.Held) {
+	for i := range h.Count {
+		w.stop[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First + wire.TaskIndex(i)}, h.Attempt}] = true
+	}
+}
+
+// Stopping reports whether a claim's first task was told to leave.
+func (w *Worker) Stopping(h ledger.Held) bool {
+	return w.stop[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First}, h.Attempt}]
+}
+
+// RunningFor returns how long a claim's first task has been seen running.
+func (w *Worker) RunningFor(h ledger.Held, now time.Time) time.Duration {
+	if t, ok := w.since[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First}, h.Attempt}]; ok {
+		return now.Sub(t)
+	}
+	return 0
+}
+
+// Commands builds the answer to the report taken last, from the ledger as it is
+// now. Starts go only for claims under the token that the answer carries;
+// mayStart is false while the ledger may have missed a cancellation.
+func (w *Worker) Commands(r *wire.Report, held []ledger.Held, mayStart bool) []wire.Command {
+	cmds := []wire.Command{}
+	claims := make(map[claimID]ledger.Held, len(held))
+	for _, h := range held {
+		if h.Session != r.Session {
+			continue
+		}
+		for i := range h.Count {
+			claims[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First + wire.TaskIndex(i)}, h.Attempt}] = h
+		}
+	}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id := claimID{t.Task, t.Attempt}
+		h, claimed := claims[id]
+		if claimed {
+			delete(claims, id)
+		}
+		switch {
+		case t.State == wire.TaskExited:
+			// Without a claim its end is on record, if the ledger is at least as
+			// new as our token; only a worker that has accepted the token can
+			// have no newer claim by somebody else.
+			if !claimed && w.Fresh {
+				cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+			}
+		case !claimed:
+			if w.Fresh {
+				cmds = append(cmds, stop(t, 0))
+			}
+		case h.Job.State == ledger.Cancelled:
+			cmds = append(cmds, stop(t, 0)) // what it does is of no use to anyone
+		case !w.wanted(h) || w.stop[id] || !w.Recall.IsZero():
+			cmds = append(cmds, stop(t, h.Job.Spec.Save+1))
+		}
+	}
+	if !mayStart || !w.Recall.IsZero() {
+		return cmds
+	}
+	for _, h := range held {
+		if h.Token != w.Hold || h.Session != r.Session || !w.wanted(h) {
+			continue
+		}
+		for i := range h.Count {
+			id := claimID{wire.TaskID{Job: h.Job.ID, Index: h.First + wire.TaskIndex(i)}, h.Attempt}
+			if _, absent := claims[id]; absent {
+				w.sent[id] = r.Tally
+				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: id.task, Attempt: id.attempt})
+			}
+		}
+	}
+	return cmds
+}
+
+func stop(t *wire.TaskReport, grace wire.Seconds) wire.Command {
+	return wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, Grace: &grace}
+}
