--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -76,6 +76,7 @@
 	retry  time.Time
 	errors int
 	avoid  map[wire.MachineID]time.Time
+	taken  int // tasks whose start is decided here but not yet in the ledger
 }
 
 // New returns a controller that hasn't read anything yet.
@@ -332,7 +333,7 @@
 func (c *Core) takeToken(ctx context.Context, above wire.Token) error {
 	waiting, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
-	if err := c.reach(waiting, 1); err != nil && !c.isLoaded() {
+	if err := c.reach(waiting, 0); err != nil {
 		return err
 	}
 	c.mu.Lock()
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -66,26 +66,28 @@
 		c.enqueue(ch)
 		waits = append(waits, ch)
 	}
-	if c.usable(w, began) && began.Sub(c.contact) < startContact {
-		if ch := c.startChange(w, began); ch != nil {
+	current := func() bool { return w.Session == r.Session && w.Tally == r.Tally }
+	now := began
+	for tries := 0; tries < 3 && current(); tries++ {
+		var starts []place.Start
+		if c.usable(w, now) && now.Sub(c.contact) < startContact {
+			starts = place.OnRoom(c.view(now), c.machineOf(w, now))
+		}
+		if len(starts) > 0 {
+			ch := c.startChange(w, starts, began.Add(reportWait))
 			c.enqueue(ch)
 			waits = append(waits, ch)
 		}
-	}
-	if len(waits) > 0 {
-		c.mu.Unlock()
-		for _, ch := range waits {
-			select {
-			case <-ch.done:
-			case <-ctx.Done():
-			}
+		dropped := c.await(ctx, waits)
+		c.untake(starts)
+		now = time.Now()
+		if waits = nil; !dropped || len(starts) == 0 || now.Sub(began) > reportWait/2 {
+			break
 		}
-		c.mu.Lock()
 	}
-	if w.Session != r.Session || w.Tally != r.Tally {
+	if !current() {
 		return goElsewhere // a newer report has been taken in meanwhile
 	}
-	now := time.Now()
 	cmds := w.Commands(r, c.led.HeldBy(r.Machine), now.Sub(c.contact) < startContact && c.led.Mark(r.Machine) != ledger.Leaving)
 	for _, cmd := range cmds {
 		if cmd.Op != wire.OpForget {
@@ -263,20 +265,42 @@
 	return err
 }
 
-// startChange decides what a machine is given and returns the claim to commit.
-func (c *Core) startChange(w *workers.Worker, now time.Time) *change {
-	v := c.view(now)
-	m := c.machineOf(w, now)
-	starts := place.OnRoom(v, m)
-	if len(starts) == 0 {
-		return nil
+// await waits, with the lock released, until changes are durable or dropped and
+// reports whether any was not made. When ctx ends first it gives up.
+func (c *Core) await(ctx context.Context, waits []*change) (dropped bool) {
+	if len(waits) == 0 {
+		return false
+	}
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	for _, ch := range waits {
+		select {
+		case err := <-ch.done:
+			dropped = dropped || err != nil
+		case <-ctx.Done():
+			return false
+		}
 	}
+	return dropped
+}
+
+func (c *Core) untake(starts []place.Start) {
+	for _, s := range starts {
+		c.notes(s.Job.ID).taken -= s.Count
+	}
+}
+
+// startChange returns the claim to commit for what a machine is given.
+func (c *Core) startChange(w *workers.Worker, starts []place.Start, until time.Time) *change {
+	m := place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold}
 	site := m.Site()
 	for _, s := range starts {
+		// Other reports that come meanwhile must not be given the same tasks.
+		c.notes(s.Job.ID).taken += s.Count
 		c.log.Info("start", "job", s.Job.ID, "tasks", s.Count, "machine", w.ID, "image", s.How)
 		c.Stats.Add("starts_"+string(s.How)+"_total", 1)
 	}
-	return &change{drop: true, until: now.Add(reportWait), draft: func(d *ledger.Draft) error {
+	return &change{drop: true, until: until, draft: func(d *ledger.Draft) error {
 		if c.workers[w.ID] != w || w.Session != site.Session || w.Hold != site.Token {
 			return ledger.ErrStale
 		}
@@ -390,7 +414,7 @@
 				delete(n.avoid, m)
 			}
 		}
-		entries = append(entries, place.Entry{Job: j, Retry: n.retry, Waiting: now.Sub(n.since), Avoid: func(m wire.MachineID) bool {
+		entries = append(entries, place.Entry{Job: j, Retry: n.retry, Waiting: now.Sub(n.since), Taken: &n.taken, Avoid: func(m wire.MachineID) bool {
 			_, bad := n.avoid[m]
 			return bad
 		}})
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -111,6 +111,15 @@
 	Retry   time.Time
 	Avoid   func(wire.MachineID) bool
 	Waiting time.Duration // how long it has been pending
+	Taken   *int          // tasks whose start is decided but not yet in the ledger
+}
+
+// pending is how many tasks there are to place.
+func (e *Entry) pending() int {
+	if e.Taken != nil {
+		return max(0, e.Job.Pending()-*e.Taken)
+	}
+	return e.Job.Pending()
 }
 
 // Order sorts entries by the job policy: priority, work within a guarantee
@@ -177,7 +186,7 @@
 		if !eligible(e, v.Now, m) || parts(j) > 1 {
 			continue
 		}
-		n := min(free.Times(j.Need, j.Pending()), j.ZoneRoom(m.Zone))
+		n := min(free.Times(j.Need, e.pending()), j.ZoneRoom(m.Zone))
 		if n <= 0 {
 			continue
 		}
@@ -207,7 +216,7 @@
 
 func eligible(e *Entry, now time.Time, m *Machine) bool {
 	j := e.Job
-	return j.Pending() > 0 && !now.Before(e.Retry) && ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) &&
+	return e.pending() > 0 && !now.Before(e.Retry) && ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) &&
 		(e.Avoid == nil || !e.Avoid(m.ID))
 }
 
