--- /dev/null
+++ b/internal/controller/history_test.go
@@ -0,0 +1,419 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"maddermill/internal/mesh"
+	"maddermill/internal/settings"
+	"maddermill/internal/standin"
+	"maddermill/wire"
+)
+
+func testSettings(t *testing.T, member int) *settings.Settings {
+	t.Helper()
+	var b strings.Builder
+	fmt.Fprintf(&b, "member = \"m-%d\"\nzone = \"a\"\nbind = \"127.0.0.1:1\"\nmesh_addr = \"127.0.0.1:2\"\n", member)
+	for i := range 3 {
+		if i != member {
+			fmt.Fprintf(&b, "[[seeds]]\nmember = \"m-%d\"\nzone = \"a\"\naddress = \"127.0.0.1:3\"\n", i)
+		}
+	}
+	b.WriteString(`
+[outside]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[settings]
+count = 3
+zones = ["a", "b"]
+[[settings.teams]]
+name = "free"
+[[settings.teams]]
+name = "capped"
+gpus = 2.0
+gpus_max = 4.0
+[settings.workers]
+report_s = 3.0
+lease_s = 30.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 60.0
+[settings.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 4.0
+txn_ops = 12
+[settings.cloud]
+rps = 2.0
+list_lag_s = 4.0
+`)
+	s, err := settings.Parse([]byte(b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// history is a whole deployment of stand-ins on a fake clock, with troubles
+// drawn from a seed.
+type history struct {
+	t     *testing.T
+	seed  uint64
+	rng   *rand.Rand
+	world *standin.World
+	store *standin.Store
+	cloud *standin.Cloud
+	links []*standin.Link
+	group sync.WaitGroup
+
+	mu    sync.Mutex
+	cores []*Core // nil while one is down
+	stop  []context.CancelFunc
+	cut   [3]bool // from the mesh
+}
+
+func (h *history) chance(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.rng.IntN(n)
+}
+
+func newHistory(t *testing.T, seed uint64) *history {
+	h := &history{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), cores: make([]*Core, 3), stop: make([]context.CancelFunc, 3)}
+	set := testSettings(t, 0)
+	h.world = standin.NewWorld(set.Cluster.Workers.Cancel.Duration())
+	h.world.TeamMax["capped"] = 4
+	h.store = standin.NewStore(set.Cluster.State.TxnOps, set.ValueBytes())
+	h.cloud = &standin.Cloud{World: h.world, Lag: 4 * time.Second, Lease: set.Cluster.Workers.Lease.Duration(), Most: 12,
+		Run:   func(t wire.TaskID) time.Duration { return time.Duration(5+int(t.Index)*7%40) * time.Second },
+		Types: []wire.Flavor{{Name: "g2", CPUs: 8, GPUs: 2, MemoryGB: 32, CacheGB: 50, FetchGBps: 1, Price: 4, SpotPrice: 1, Boot: 20, Zones: []wire.Zone{"a", "b"}}}}
+	for i := range 3 {
+		h.links = append(h.links, standin.NewLink(h.store, seed*10+uint64(i)))
+	}
+	return h
+}
+
+func (h *history) core(i int) *Core {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cores[i]
+}
+
+func (h *history) startCore(ctx context.Context, i int) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if os.Getenv("HISTORY_LOG") != "" {
+		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("member", i)
+	}
+	c := New(testSettings(h.t, i), h.links[i], log)
+	ctx, cancel := context.WithCancel(ctx)
+	h.mu.Lock()
+	h.cores[i], h.stop[i] = c, cancel
+	h.mu.Unlock()
+	h.group.Go(func() { _ = c.duties(ctx, h.cloud) })
+	h.group.Go(func() {
+		for ctx.Err() == nil {
+			sleep(ctx, time.Second)
+			for o := range 3 {
+				p := h.core(o)
+				h.mu.Lock()
+				cut := h.cut[i] || h.cut[o]
+				h.mu.Unlock()
+				if o != i && p != nil && !cut {
+					asked := time.Now()
+					sleep(ctx, 3*time.Millisecond)
+					c.heardPeer(mesh.Answer{Status: p.status(), Asked: asked})
+				}
+			}
+		}
+	})
+}
+
+func (h *history) crash(i int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cores[i] != nil {
+		h.stop[i]()
+		h.cores[i] = nil
+	}
+}
+
+// work is a worker's loop, with lost answers and reports that arrive late.
+func (h *history) work(ctx context.Context, m *standin.Machine) {
+	at := h.chance(3)
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(2200+h.chance(1500))*time.Millisecond)
+		r, begun := m.Report()
+		if r == nil {
+			continue
+		}
+		c := h.core(at)
+		if c == nil {
+			at = (at + 1) % 3
+			sleep(ctx, time.Second)
+			continue
+		}
+		if h.chance(12) == 0 {
+			// This one is held back; the worker gives up and goes on elsewhere.
+			late, delay := *r, time.Duration(1+h.chance(40))*time.Second
+			h.group.Go(func() {
+				sleep(ctx, delay)
+				if c := h.core(at); c != nil {
+					_ = c.Report(ctx, &late)
+				}
+			})
+			at = (at + 1 + h.chance(2)) % 3
+			sleep(ctx, 4*time.Second)
+			continue
+		}
+		a := c.Report(ctx, r)
+		switch {
+		case a.Status != 200:
+			at = (at + 1) % 3
+			sleep(ctx, time.Second)
+		case h.chance(15) == 0: // the answer is lost
+		default:
+			m.Answer(begun, r.Session, a.Response)
+		}
+	}
+}
+
+// user submits a job, polls it and perhaps cancels it.
+func (h *history) user(ctx context.Context, spec *wire.JobSpec, cancelAfter time.Duration, finished *int) {
+	h.world.Upload(spec)
+	ask := func(f func(context.Context, *Core) (wire.JobStatus, error)) (wire.JobStatus, bool) {
+		for ctx.Err() == nil {
+			if c := h.core(h.chance(3)); c != nil {
+				one, cancel := context.WithTimeout(ctx, 4*time.Second)
+				st, err := f(one, c)
+				cancel()
+				if err == nil {
+					h.world.Told(spec.ID, st.Status)
+					return st, true
+				}
+				if errors.Is(err, ErrNoSuchJob) {
+					h.t.Errorf("seed %d: forgotten %s", h.seed, spec.ID)
+				}
+			}
+			sleep(ctx, time.Second)
+		}
+		return wire.JobStatus{}, false
+	}
+	if _, ok := ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) {
+		st, _, err := c.Submit(ctx, spec)
+		return st, err
+	}); !ok {
+		return
+	}
+	began := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, 5*time.Second)
+		f := func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Status(ctx, spec.ID) }
+		if cancelAfter > 0 && time.Since(began) > cancelAfter {
+			f = func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Cancel(ctx, spec.ID) }
+		}
+		st, _ := ask(f)
+		if st.Status == wire.Done || st.Status == wire.Cancelled {
+			h.mu.Lock()
+			*finished++
+			h.mu.Unlock()
+			sleep(ctx, 70*time.Second)
+			ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Status(ctx, spec.ID) })
+			return
+		}
+	}
+}
+
+func (h *history) spec(i int) *wire.JobSpec {
+	s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: "free", Shape: wire.Array, Priority: wire.Normal,
+		Tasks: 1 + h.chance(6), CPUs: 2, GPUs: 1, MemoryGB: 4, Image: wire.Image(fmt.Sprintf("img-%d", h.chance(3))), ImageGB: 2,
+		Spot: h.chance(2) == 0, Estimate: 20}
+	if h.chance(2) == 0 {
+		s.Team = "capped"
+	}
+	if h.chance(3) == 0 {
+		s.Shape, s.Tasks, s.Priority = wire.Gang, 1+h.chance(3), wire.High
+	}
+	if h.chance(3) == 0 {
+		s.Checkpoint, s.Save = 5, 2
+	}
+	switch h.chance(5) {
+	case 0:
+		z := wire.Zone("b")
+		s.Zone = &z
+	case 1:
+		s.OneZone = true
+	case 2:
+		s.Spread = true
+	}
+	if h.chance(20) == 0 {
+		s.Tasks, s.Shape, s.GPUs, s.Team = 70, wire.Array, 0, "free" // more than one record
+	}
+	return s
+}
+
+// trouble makes one thing go wrong for a while.
+func (h *history) trouble(ctx context.Context) {
+	i, for_ := h.chance(3), time.Duration(2+h.chance(25))*time.Second
+	switch h.chance(9) {
+	case 0, 1:
+		h.crash(i)
+		sleep(ctx, 5*time.Second)
+		if h.core(i) == nil {
+			h.startCore(ctx, i)
+		}
+	case 2:
+		for k := range 3 {
+			h.crash(k)
+		}
+		sleep(ctx, 8*time.Second)
+		for k := range 3 {
+			if h.core(k) == nil {
+				h.startCore(ctx, k)
+			}
+		}
+	case 3:
+		h.links[i].SetDown(true)
+		sleep(ctx, for_)
+		h.links[i].SetDown(false)
+	case 4:
+		for _, l := range h.links {
+			l.SetDown(true)
+		}
+		sleep(ctx, for_)
+		h.store.Extend()
+		for _, l := range h.links {
+			l.SetDown(false)
+		}
+	case 5:
+		if up := h.cloud.Up(); len(up) > 0 {
+			m := up[h.chance(len(up))]
+			m.Hang(true)
+			sleep(ctx, for_+5*time.Second)
+			m.Hang(false)
+		}
+	case 6:
+		h.cloud.Take(1 + h.chance(3))
+	case 7:
+		h.mu.Lock()
+		h.cut[i] = true
+		h.mu.Unlock()
+		sleep(ctx, for_)
+		h.mu.Lock()
+		h.cut[i] = false
+		h.mu.Unlock()
+	case 8:
+		h.store.Forget()
+		h.cloud.SetDown(true)
+		sleep(ctx, for_)
+		h.cloud.SetDown(false)
+	}
+}
+
+// play runs the history for a while and returns how many jobs there were and
+// how many of them ended.
+func (h *history) play(d time.Duration, jobs int, lossy float64) (finished int) {
+	ctx, cancel := context.WithCancel(h.t.Context())
+	defer cancel()
+	for _, l := range h.links {
+		l.Lossy = lossy
+	}
+	h.cloud.Started = func(m *standin.Machine) { h.group.Go(func() { h.work(ctx, m) }) }
+	for i := range 4 {
+		h.cloud.Add("g2", []wire.Zone{"a", "b"}[i%2], i%2 == 1)
+	}
+	for i := range 3 {
+		h.startCore(ctx, i)
+	}
+	for i := range jobs {
+		spec := h.spec(i)
+		after := time.Duration(h.chance(int(d/time.Second)*2/3)) * time.Second
+		cancelAfter := time.Duration(0)
+		if h.chance(4) == 0 {
+			cancelAfter = time.Duration(5+h.chance(60)) * time.Second
+		}
+		h.group.Go(func() {
+			sleep(ctx, after)
+			h.user(ctx, spec, cancelAfter, &finished)
+		})
+	}
+	end := time.After(d)
+	for at := 0; ; at++ {
+		select {
+		case <-end:
+			h.world.Check()
+			cancel()
+			for i := range 3 {
+				h.crash(i)
+			}
+			h.group.Wait()
+			time.Sleep(time.Minute) // what was delayed still comes
+			return finished
+		case <-time.After(time.Second):
+			h.world.Check()
+			if at%12 == 11 && time.Duration(at)*time.Second < d*2/3 {
+				h.group.Go(func() { h.trouble(ctx) })
+			}
+		}
+	}
+}
+
+// TestHistoriesKeepTheRules plays seeded histories with crashes, lost and late
+// messages, outages and lost machines, and checks every rule as it goes.
+func TestHistoriesKeepTheRules(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHistory(t, seed)
+				finished := h.play(8*time.Minute, 40, 0.03)
+				for _, b := range h.world.Broken {
+					t.Errorf("broken: %s", b)
+				}
+				for _, p := range h.store.Problems {
+					t.Errorf("state service: %s", p)
+				}
+				if h.world.Starts == 0 || finished < 25 {
+					t.Errorf("%d tasks started, %d of 40 jobs ended", h.world.Starts, finished)
+				}
+				t.Logf("%d starts, %d tasks done, %d jobs ended", h.world.Starts, h.world.DoneTasks(), finished)
+			})
+		})
+	}
+}
+
+// TestBrokenGuardsAreSeen removes one guard at a time, by a state service that
+// doesn't check some conditions, and expects the rule that it holds to break.
+func TestBrokenGuardsAreSeen(t *testing.T) {
+	for _, tc := range []struct{ blind, rule string }{
+		{"mm1/j/", "ran_twice"},
+		{"mm1/u/", "quota"},
+	} {
+		t.Run(tc.rule, func(t *testing.T) {
+			seen := false
+			for seed := uint64(1); seed <= 8 && !seen; seed++ {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						h := newHistory(t, seed)
+						h.store.Blind = map[string]bool{tc.blind: true}
+						h.play(6*time.Minute, 60, 0)
+						for _, b := range h.world.Broken {
+							seen = seen || strings.HasPrefix(b, tc.rule)
+						}
+					})
+				})
+			}
+			if !seen {
+				t.Errorf("no history broke %s without conditions on %s", tc.rule, tc.blind)
+			}
+		})
+	}
+}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -13,17 +13,12 @@
 // Run carries out the controller's duties until ctx ends or one of them fails.
 func (c *Core) Run(ctx context.Context, dialer *transport.Dialer, cl Cloud) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, duty := range []func(context.Context) error{
-		c.mirror, c.readBarriers, c.takeTokens, c.writeBatches, c.sweep, c.publish, c.readPublished,
-		func(ctx context.Context) error { return c.lead(ctx, cl) },
-		func(ctx context.Context) error {
-			return transport.Serve(ctx, c.set.MeshAddr, 8*len(c.set.Peers)+16, func(_ context.Context, conn *transport.Conn) {
-				mesh.Serve(conn, c.status)
-			})
-		},
-	} {
-		g.Go(func() error { return duty(ctx) })
-	}
+	g.Go(func() error { return c.duties(ctx, cl) })
+	g.Go(func() error {
+		return transport.Serve(ctx, c.set.MeshAddr, 8*len(c.set.Peers)+16, func(_ context.Context, conn *transport.Conn) {
+			mesh.Serve(conn, c.status)
+		})
+	})
 	for _, p := range c.set.Peers {
 		g.Go(func() error {
 			mesh.Ask(ctx, dialer, p.Addr, c.set.Member, time.Second, c.heardPeer)
@@ -32,3 +27,15 @@
 	}
 	return g.Wait()
 }
+
+// duties are those that need no network of their own.
+func (c *Core) duties(ctx context.Context, cl Cloud) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, duty := range []func(context.Context) error{
+		c.mirror, c.readBarriers, c.takeTokens, c.writeBatches, c.sweep, c.publish, c.readPublished,
+		func(ctx context.Context) error { return c.lead(ctx, cl) },
+	} {
+		g.Go(func() error { return duty(ctx) })
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,330 @@
+// Package standin holds stand-ins of the systems outside maddermill, written
+// from their published protocols for tests: the state service, the cloud and
+// the workers. They run in one process, on whatever clock the test gives them.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"maddermill/internal/state"
+	"maddermill/wire"
+)
+
+// Store stands in for the state service.
+type Store struct {
+	mu       sync.Mutex
+	rev      wire.Revision
+	items    map[string]wire.Item
+	log      []wire.Event
+	kept     int // how many changes of the log are kept
+	moved    chan struct{}
+	leases   map[wire.LeaseID]time.Time
+	ttl      map[wire.LeaseID]time.Duration
+	last     wire.LeaseID
+	Blind    map[string]bool // condition keys with these prefixes are not checked: a broken guard
+	TxnOps   int
+	Value    int
+	Problems []string // requests beyond the limits
+}
+
+// NewStore returns an empty store.
+func NewStore(txnOps, valueBytes int) *Store {
+	return &Store{items: map[string]wire.Item{}, kept: 10_000, moved: make(chan struct{}),
+		leases: map[wire.LeaseID]time.Time{}, ttl: map[wire.LeaseID]time.Duration{}, TxnOps: txnOps, Value: valueBytes}
+}
+
+// Apply runs a transaction at once.
+func (s *Store) Apply(t wire.Txn) (wire.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if len(t.Then) > s.TxnOps || len(t.If) > 4*s.TxnOps {
+		s.Problems = append(s.Problems, "transaction too large")
+		return 0, state.ErrInvalid
+	}
+	var failed []string
+	for _, c := range t.If {
+		blind := false
+		for p := range s.Blind {
+			blind = blind || strings.HasPrefix(c.Key, p)
+		}
+		if !blind && s.items[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return 0, &state.Conflict{Failed: failed, Revision: s.rev}
+	}
+	for _, c := range t.Then {
+		if len(c.Value) > s.Value {
+			s.Problems = append(s.Problems, "value too large: "+c.Put)
+			return 0, state.ErrInvalid
+		}
+		if _, ok := s.leases[c.Lease]; c.Lease != 0 && !ok {
+			return 0, state.ErrNoLease
+		}
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+		for _, c := range t.Then {
+			if c.Delete != "" {
+				s.remove(c.Delete)
+				continue
+			}
+			v := slices.Clone(c.Value)
+			s.items[c.Put] = wire.Item{Key: c.Put, Value: v, Version: s.rev, Lease: c.Lease}
+			s.log = append(s.log, wire.Event{Put: c.Put, Value: v, Version: s.rev})
+		}
+		s.wake()
+	}
+	return s.rev, nil
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.log = append(s.log, wire.Event{Delete: key, Version: s.rev})
+	}
+}
+
+func (s *Store) wake() {
+	if n := len(s.log) - s.kept; n > 0 {
+		s.log = s.log[n:]
+	}
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	gone := false
+	for id, until := range s.leases {
+		if now.After(until) {
+			delete(s.leases, id)
+			for k, it := range s.items {
+				if it.Lease == id {
+					if !gone {
+						s.rev++
+						gone = true
+					}
+					s.remove(k)
+				}
+			}
+		}
+	}
+	if gone {
+		s.wake()
+	}
+}
+
+// Forget drops the history, so that watches answer that they are too old.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	s.log = nil
+	s.mu.Unlock()
+}
+
+// Extend gives every lease its full time, as after an outage.
+func (s *Store) Extend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.leases[id] = time.Now().Add(s.ttl[id])
+	}
+}
+
+func (s *Store) page(prefix, after string, limit int) wire.ItemPage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	p := wire.ItemPage{Revision: s.rev}
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	if len(keys) > limit {
+		keys, p.More = keys[:limit], true
+	}
+	for _, k := range keys {
+		p.Items = append(p.Items, s.items[k])
+	}
+	return p
+}
+
+// changes returns what came after a revision, or a channel to wait on.
+func (s *Store) changes(prefix string, after wire.Revision) (wire.Events, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	ev := wire.Events{Revision: s.rev}
+	if after < s.rev && (len(s.log) == 0 || s.log[0].Version > after+1) {
+		return ev, nil, state.ErrTooOld
+	}
+	for _, e := range s.log {
+		if e.Version > after && (strings.HasPrefix(e.Put, prefix) && e.Put != "" || strings.HasPrefix(e.Delete, prefix) && e.Delete != "") {
+			ev.Events = append(ev.Events, e)
+		}
+	}
+	if len(ev.Events) > 0 {
+		return ev, nil, nil
+	}
+	return ev, s.moved, nil
+}
+
+// Link is one controller's way to the store, with its troubles.
+type Link struct {
+	Store *Store
+	mu    sync.Mutex
+	rng   *rand.Rand
+	down  bool
+	// Lossy is the share of transactions whose answer is lost; half of those
+	// are applied late.
+	Lossy float64
+}
+
+// NewLink returns a link whose troubles follow from the seed.
+func NewLink(s *Store, seed uint64) *Link {
+	return &Link{Store: s, rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// SetDown makes the link refuse everything, or ends that.
+func (l *Link) SetDown(down bool) {
+	l.mu.Lock()
+	l.down = down
+	l.mu.Unlock()
+}
+
+func (l *Link) roll() (down bool, luck float64, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delay = time.Duration(1+l.rng.IntN(8)) * time.Millisecond
+	if l.rng.IntN(50) == 0 {
+		delay = 300 * time.Millisecond
+	}
+	return l.down, l.rng.Float64(), delay
+}
+
+func (l *Link) travel(ctx context.Context) error {
+	down, _, delay := l.roll()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return state.ErrRefused
+	}
+	if down {
+		return state.ErrRefused
+	}
+	return nil
+}
+
+// Revision implements state.Store.
+func (l *Link) Revision(ctx context.Context) (wire.Revision, error) {
+	p, err := l.List(ctx, "~", "", 1)
+	return p.Revision, err
+}
+
+// Get implements state.Store.
+func (l *Link) Get(ctx context.Context, key string) (wire.Item, error) {
+	if err := l.travel(ctx); err != nil {
+		return wire.Item{}, err
+	}
+	l.Store.mu.Lock()
+	defer l.Store.mu.Unlock()
+	it, ok := l.Store.items[key]
+	if !ok {
+		return it, state.ErrNotFound
+	}
+	return it, nil
+}
+
+// List implements state.Store.
+func (l *Link) List(ctx context.Context, prefix, after string, limit int) (wire.ItemPage, error) {
+	if err := l.travel(ctx); err != nil {
+		return wire.ItemPage{}, err
+	}
+	return l.Store.page(prefix, after, min(limit, 7)), nil
+}
+
+// Commit implements state.Store. A lost answer leaves the caller in the dark; a
+// lost request may be applied seconds later.
+func (l *Link) Commit(ctx context.Context, t wire.Txn) (wire.Revision, error) {
+	if err := l.travel(ctx); err != nil {
+		return 0, err
+	}
+	if _, luck, _ := l.roll(); luck < l.Lossy {
+		if luck < l.Lossy/2 {
+			b, _ := json.Marshal(t)
+			time.AfterFunc(time.Duration(luck/l.Lossy*20*float64(time.Second)), func() {
+				var late wire.Txn
+				if json.Unmarshal(b, &late) == nil {
+					_, _ = l.Store.Apply(late)
+				}
+			})
+		} else {
+			_, _ = l.Store.Apply(t)
+		}
+		time.Sleep(time.Second)
+		return 0, state.ErrUnknown
+	}
+	return l.Store.Apply(t)
+}
+
+// Watch implements state.Store.
+func (l *Link) Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error) {
+	end := time.After(wait)
+	for {
+		if err := l.travel(ctx); err != nil {
+			return wire.Events{}, err
+		}
+		ev, moved, err := l.Store.changes(prefix, after)
+		if err != nil || moved == nil {
+			return ev, err
+		}
+		select {
+		case <-moved:
+		case <-time.After(time.Second): // leases may have run out
+		case <-end:
+			return ev, nil
+		case <-ctx.Done():
+			return ev, ctx.Err()
+		}
+	}
+}
+
+// Grant implements state.Store.
+func (l *Link) Grant(ctx context.Context, ttl time.Duration) (wire.LeaseID, error) {
+	if err := l.travel(ctx); err != nil {
+		return 0, err
+	}
+	s := l.Store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	s.leases[s.last], s.ttl[s.last] = time.Now().Add(ttl), ttl
+	return s.last, nil
+}
+
+// Renew implements state.Store.
+func (l *Link) Renew(ctx context.Context, id wire.LeaseID) error {
+	if err := l.travel(ctx); err != nil {
+		return err
+	}
+	s := l.Store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if _, ok := s.leases[id]; !ok {
+		return state.ErrNoLease
+	}
+	s.leases[id] = time.Now().Add(s.ttl[id])
+	return nil
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,289 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"maddermill/wire"
+)
+
+// World is what really happens on the machines, and what the rules say of it.
+type World struct {
+	mu      sync.Mutex
+	specs   map[wire.JobID]*wire.JobSpec
+	on      map[wire.TaskID]wire.MachineID // machines that tasks are on
+	zoneOf  map[wire.TaskID]wire.Zone
+	TeamMax map[wire.Team]float64 // GPUs
+	done    map[wire.TaskID]bool
+	told    map[wire.JobID]toldState
+	CancelS time.Duration
+	Broken  []string
+	Starts  int
+}
+
+type toldState struct {
+	status wire.Status
+	at     time.Time
+}
+
+// NewWorld returns a world in which nothing has happened.
+func NewWorld(cancel time.Duration) *World {
+	return &World{specs: map[wire.JobID]*wire.JobSpec{}, on: map[wire.TaskID]wire.MachineID{}, zoneOf: map[wire.TaskID]wire.Zone{},
+		TeamMax: map[wire.Team]float64{}, done: map[wire.TaskID]bool{}, told: map[wire.JobID]toldState{}, CancelS: cancel}
+}
+
+// Upload makes a job's description known to the workers.
+func (w *World) Upload(s *wire.JobSpec) {
+	w.mu.Lock()
+	w.specs[s.ID] = s
+	w.mu.Unlock()
+}
+
+func (w *World) broke(rule string) { w.Broken = append(w.Broken, rule) }
+
+// Told notes what a user was told of a job and checks it.
+func (w *World) Told(id wire.JobID, status wire.Status) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.told[id]
+	if (before.status == wire.Done || before.status == wire.Cancelled) && status != before.status {
+		w.broke("went_back " + string(id))
+	}
+	if status == wire.Done && before.status != wire.Done {
+		for i := range w.specs[id].Tasks {
+			if !w.done[wire.TaskID{Job: id, Index: wire.TaskIndex(i)}] {
+				w.broke("not_done " + string(id))
+			}
+		}
+	}
+	if before.status != status {
+		w.told[id] = toldState{status, time.Now()}
+	}
+}
+
+func (w *World) start(m *Machine, t wire.TaskID) {
+	spec := w.specs[t.Job]
+	w.Starts++
+	if o, ok := w.on[t]; ok {
+		w.broke("ran_twice " + t.String() + " on " + string(o) + " and " + string(m.Type.ID))
+	}
+	if spec.Zone != nil && *spec.Zone != m.Type.Zone || m.Type.Spot && !spec.Spot ||
+		spec.Types != nil && !slices.Contains(spec.Types, m.Type.Type) {
+		w.broke("wrong_place " + t.String())
+	}
+	here := 1
+	for o, z := range w.zoneOf {
+		if o.Job == t.Job && o != t {
+			if z == m.Type.Zone {
+				here++
+			} else if spec.OneZone {
+				w.broke("wrong_place " + t.String() + " not together")
+			}
+		}
+	}
+	if spec.Spread && here > (spec.Tasks+1)/2 {
+		w.broke("wrong_place " + t.String() + " not spread")
+	}
+	w.on[t], w.zoneOf[t] = m.Type.ID, m.Type.Zone
+	used := 0.0
+	for o := range w.on {
+		if s := w.specs[o.Job]; s.Team == spec.Team {
+			used += s.GPUs
+		}
+	}
+	if limit := w.TeamMax[spec.Team]; limit > 0 && used > limit {
+		w.broke("quota " + string(spec.Team))
+	}
+	w.checkCancelled(t)
+}
+
+func (w *World) checkCancelled(t wire.TaskID) {
+	if told := w.told[t.Job]; told.status == wire.Cancelled && time.Since(told.at) > w.CancelS {
+		w.broke("ran_cancelled " + t.String())
+	}
+}
+
+func (w *World) leave(t wire.TaskID) {
+	delete(w.on, t)
+	delete(w.zoneOf, t)
+}
+
+// Check looks at the tasks that are on machines now.
+func (w *World) Check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for t := range w.on {
+		w.checkCancelled(t)
+	}
+}
+
+// DoneTasks counts the completed tasks.
+func (w *World) DoneTasks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.done)
+}
+
+type runningTask struct {
+	attempt wire.Attempt
+	state   wire.TaskState
+	cause   wire.Cause
+	saved   bool
+	until   time.Time // of the state
+	image   time.Time // when its image is there
+}
+
+// Machine stands in for a worker and its machine.
+type Machine struct {
+	World *World
+	Type  wire.ListedMachine
+	Lease time.Duration
+	Run   func(wire.TaskID) time.Duration
+	GPUs  float64
+
+	mu      sync.Mutex
+	session wire.Session
+	tally   wire.Tally
+	token   wire.Token
+	renewed time.Time
+	tasks   map[wire.TaskID]*runningTask
+	gone    bool
+	hung    bool
+}
+
+// Boot starts the worker.
+func (m *Machine) Boot() {
+	m.session, m.tasks, m.renewed = 1, map[wire.TaskID]*runningTask{}, time.Now()
+}
+
+// Destroy ends the machine and all on it.
+func (m *Machine) Destroy() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.World.mu.Lock()
+	defer m.World.mu.Unlock()
+	m.gone = true
+	m.kill()
+}
+
+// Hang stops the machine from doing anything, or ends that.
+func (m *Machine) Hang(hung bool) {
+	m.mu.Lock()
+	m.hung = hung
+	m.mu.Unlock()
+}
+
+func (m *Machine) kill() {
+	for t, r := range m.tasks {
+		if r.state != wire.TaskExited && r.state != wire.TaskFetching {
+			m.World.leave(t)
+		}
+		delete(m.tasks, t)
+	}
+}
+
+// Report lets time pass on the machine and returns its next report, or nil when
+// it sends none. begun is when the report was begun.
+func (m *Machine) Report() (r *wire.Report, begun time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone || m.hung {
+		return nil, time.Time{}
+	}
+	m.World.mu.Lock()
+	defer m.World.mu.Unlock()
+	now := time.Now()
+	if now.Sub(m.renewed) > m.Lease {
+		m.kill()
+		m.session++
+		m.tally, m.renewed = 0, now
+	}
+	for t, r := range m.tasks {
+		m.step(t, r, now)
+	}
+	m.tally++
+	rep := &wire.Report{Machine: m.Type.ID, Addr: m.Type.Addr, Type: m.Type.Type, Zone: m.Type.Zone, Spot: m.Type.Spot,
+		Session: m.session, Tally: m.tally, Token: m.token}
+	for t, r := range m.tasks {
+		rep.Tasks = append(rep.Tasks, wire.TaskReport{Task: t, Attempt: r.attempt, State: r.state, Cause: r.cause, Saved: r.saved})
+	}
+	return rep, now
+}
+
+func (m *Machine) step(t wire.TaskID, r *runningTask, now time.Time) {
+	if r.state == wire.TaskFetching && now.After(r.until) {
+		r.state, r.until = wire.TaskRunning, now.Add(m.Run(t))
+		m.World.start(m, t)
+	}
+	if r.state == wire.TaskRunning && now.After(r.until) {
+		r.state, r.cause = wire.TaskExited, wire.CauseDone
+		m.World.done[t] = true
+		m.World.leave(t)
+	}
+	if r.state == wire.TaskSaving && now.After(r.until) {
+		r.state, r.cause, r.saved = wire.TaskExited, wire.CauseStopped, true
+		m.World.leave(t)
+	}
+}
+
+// Answer takes the response to the report of a session and tally that was begun
+// at the given time. A late one is dropped, as is one under a lower token.
+func (m *Machine) Answer(begun time.Time, session wire.Session, p *wire.ReportResponse) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.gone || m.hung || session != m.session || p.Token < m.token || now.Sub(begun) > 4*time.Second {
+		return
+	}
+	m.World.mu.Lock()
+	defer m.World.mu.Unlock()
+	m.token = p.Token
+	m.renewed = begun
+	for _, c := range p.Commands {
+		r := m.tasks[c.Task]
+		same := r != nil && r.attempt == c.Attempt
+		switch c.Op {
+		case wire.OpStart:
+			if same {
+				continue
+			}
+			if r != nil && r.state != wire.TaskExited {
+				continue // busy: the next report shows the other attempt
+			}
+			n := &runningTask{attempt: c.Attempt, state: wire.TaskFetching, until: now.Add(3 * time.Second)}
+			used := 0.0
+			for t, o := range m.tasks {
+				if o.state != wire.TaskExited {
+					used += m.World.specs[t.Job].GPUs
+				}
+			}
+			if spec := m.World.specs[c.Task.Job]; spec == nil {
+				n.state, n.cause = wire.TaskExited, wire.CauseUnknown
+			} else if used+spec.GPUs > m.GPUs {
+				n.state, n.cause = wire.TaskExited, wire.CauseNoRoom
+			}
+			m.tasks[c.Task] = n
+		case wire.OpStop:
+			if !same || r.state == wire.TaskExited {
+				continue
+			}
+			spec := m.World.specs[c.Task.Job]
+			if r.state == wire.TaskRunning && spec.Checkpoint > 0 && *c.Grace >= spec.Save {
+				r.state, r.until = wire.TaskSaving, now.Add(spec.Save.Duration())
+				continue
+			}
+			if r.state == wire.TaskSaving && *c.Grace > 0 {
+				continue
+			}
+			if r.state != wire.TaskFetching {
+				m.World.leave(c.Task)
+			}
+			r.state, r.cause = wire.TaskExited, wire.CauseStopped
+		case wire.OpForget:
+			if same && r.state == wire.TaskExited {
+				delete(m.tasks, c.Task)
+			}
+		}
+	}
+}
