--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,128 @@
+package api_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"maddermill/internal/api"
+	"maddermill/internal/controller"
+	"maddermill/internal/http1"
+	"maddermill/internal/transport"
+	"maddermill/wire"
+)
+
+type service struct{}
+
+func (service) Submit(_ context.Context, s *wire.JobSpec) (wire.JobStatus, bool, error) {
+	if s.Team == "nobody" {
+		return wire.JobStatus{}, false, errors.Join(controller.ErrNeverRuns, errors.New("unknown team"))
+	}
+	return wire.JobStatus{ID: s.ID, Status: wire.Queued}, true, nil
+}
+func (service) Status(_ context.Context, id wire.JobID) (wire.JobStatus, error) {
+	switch id {
+	case "wk-000001":
+		return wire.JobStatus{ID: id, Status: wire.Done}, nil
+	case "wk-000002":
+		return wire.JobStatus{}, controller.ErrUnavailable
+	}
+	return wire.JobStatus{}, controller.ErrNoSuchJob
+}
+func (s service) Cancel(ctx context.Context, id wire.JobID) (wire.JobStatus, error) {
+	return s.Status(ctx, id)
+}
+func (service) Report(context.Context, *wire.Report) controller.ReportAnswer {
+	return controller.ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: 3, Commands: []wire.Command{}}}
+}
+func (service) Healthy() bool { return true }
+
+// TestOverTheWire serves on a loopback port through gnet, and asks both through
+// our client and with bytes that no client of ours would send.
+func TestOverTheWire(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	server := &api.Server{Service: service{}, Metrics: func() []byte { return []byte("x 1\n") }, RetryAfter: time.Second,
+		MaxUsers: 100, MaxBusy: 10, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	served := make(chan error, 1)
+	go func() { served <- transport.Serve(ctx, addr, 50, server.Serve) }()
+	dialer, err := transport.NewDialer(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialer.Stop()
+	client := &http1.Client{Dialer: dialer, Addr: addr, MaxIdle: 2, MaxBody: 1 << 20}
+	for up := false; !up; {
+		one, done := context.WithTimeout(ctx, 10*time.Second)
+		p, err := client.Do(one, &http1.Request{Method: "GET", Path: "/healthz"})
+		done()
+		up = err == nil && p.Status == 200
+		if err != nil && !errors.Is(err, http1.ErrNotSent) {
+			t.Fatal(err)
+		}
+	}
+	job := `{"id":"wk-000009","workclass":"c","owner":"OWNER","shape":"array","urgency":"normal","pieces":1,"cores":1,"accelerators":0,
+	 "ram_gb":1,"bundle":"i","pull_gb":1,"together":false,"scatter":false,"loaners":true,"expect_s":1,"snapshot_s":0,"stash_s":0}`
+	for _, tc := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"POST", "/api/jobs", strings.Replace(job, "OWNER", "t", 1), 201},
+		{"POST", "/api/jobs", strings.Replace(job, "OWNER", "nobody", 1), 422},
+		{"POST", "/api/jobs", "{}", 400},
+		{"POST", "/api/jobs", strings.Repeat("x", http1.MaxBody), 400},
+		{"GET", "/api/jobs", "", 405},
+		{"GET", "/api/jobs/wk-000001", "", 200},
+		{"GET", "/api/jobs/wk-000002", "", 503},
+		{"GET", "/api/jobs/wk-000003", "", 404},
+		{"GET", "/api/jobs/what", "", 404},
+		{"POST", "/api/jobs/wk-000001/cancel", "", 200},
+		{"GET", "/api/jobs/wk-000001/cancel", "", 405},
+		{"POST", "/v1/report", `{"millstone":"host-1","shift":1,"tally":1,"pieces":[]}`, 200},
+		{"POST", "/v1/report", `{"millstone":7}`, 400},
+		{"GET", "/metrics", "", 200},
+		{"GET", "/nothing", "", 404},
+	} {
+		p, err := client.Do(ctx, &http1.Request{Method: tc.method, Path: tc.path, Body: []byte(tc.body)})
+		if err != nil || p.Status != tc.status {
+			t.Errorf("%s %s: %v, %v, want %d", tc.method, tc.path, p, err, tc.status)
+		}
+		if err == nil && p.Status == 503 && p.Header.Get("retry-after") != "1" {
+			t.Errorf("%s %s: no Retry-After", tc.method, tc.path)
+		}
+	}
+	for in, want := range map[string]string{
+		"nonsense\r\n\r\n": "HTTP/1.1 400",
+		"POST /api/jobs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n": "HTTP/1.1 413",
+		"GET /" + strings.Repeat("y", 9000) + " HTTP/1.1\r\n\r\n":  "HTTP/1.1 431",
+		"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n":       "HTTP/1.1 200",
+	} {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, in); err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(bufio.NewReader(c)) // ends only if the server closes
+		if !strings.HasPrefix(string(got), want) {
+			t.Errorf("%.30q: %q, %v, want %s", in, got, err, want)
+		}
+		c.Close()
+	}
+	cancel()
+	if err := <-served; err != nil {
+		t.Errorf("stopping: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/wire"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func input(t *testing.T, specs ...wire.JobSpec) *Input {
+	t.Helper()
+	l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000})
+	in := &Input{Now: now, TeamRoom: l.TeamRoom, Spot: true, IdleBoots: 1, Refused: func(Option) bool { return false },
+		Flavors: map[wire.MachineSKU]wire.Flavor{"g": {Name: "g", CPUs: 8, GPUs: 4, MemoryGB: 64, Price: 10, SpotPrice: 3, Boot: 60, Zones: []wire.Zone{"a", "b"}}}}
+	for i := range specs {
+		s := specs[i]
+		s.ID, s.Team, s.Class, s.Image = wire.JobID(fmt.Sprintf("wk-%06d", i)), "t", "c", "i"
+		if s.Shape == "" {
+			s.Shape = wire.Array
+		}
+		s.Priority = wire.Normal
+		d := l.NewDraft()
+		if err := d.Submit(&s, wire.UnixMillis(i)); err != nil {
+			t.Fatal(err)
+		}
+		txn, _ := d.Txn()
+		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: wire.Revision(i + 1)})
+		in.Queue = append(in.Queue, place.Entry{Job: l.Job(s.ID)})
+	}
+	return in
+}
+
+func hired(p Plan, spot bool) (n int) {
+	for _, h := range p.Hire {
+		if h.Spot == spot {
+			n += h.Count
+		}
+	}
+	return n
+}
+
+func TestHire(t *testing.T) {
+	full := ledger.NewResources(8, 4, 64)
+	zone := wire.Zone("b")
+	for _, tc := range []struct {
+		name      string
+		spec      wire.JobSpec
+		units     []Unit
+		refused   func(Option) bool
+		most      int
+		spot, own int
+	}{
+		{"packed", wire.JobSpec{Tasks: 8, GPUs: 1, CPUs: 1, Spot: true}, nil, nil, 0, 2, 0},
+		{"not on spot", wire.JobSpec{Tasks: 8, GPUs: 1, CPUs: 1}, nil, nil, 0, 0, 2},
+		{"spot refused", wire.JobSpec{Tasks: 4, GPUs: 1, Spot: true}, nil, func(o Option) bool { return o.Spot }, 0, 0, 1},
+		{"one booting is counted", wire.JobSpec{Tasks: 8, GPUs: 1, Spot: true}, []Unit{{ID: "h", Type: "g", Zone: "a", Booting: true, Usable: true, Free: full}}, nil, 0, 1, 0},
+		{"room in the wrong zone does not count", wire.JobSpec{Tasks: 4, GPUs: 1, Spot: true, Zone: &zone}, []Unit{{ID: "h", Type: "g", Zone: "a", Usable: true, Free: full}}, nil, 0, 1, 0},
+		{"bounded", wire.JobSpec{Tasks: 40, GPUs: 1, Spot: true}, nil, nil, 3, 3, 0},
+		{"nothing fits", wire.JobSpec{Tasks: 4, GPUs: 9, Spot: true}, nil, nil, 0, 0, 0},
+	} {
+		in := input(t, tc.spec)
+		in.Units, in.Most = tc.units, tc.most
+		if tc.refused != nil {
+			in.Refused = tc.refused
+		}
+		p := Make(in)
+		if hired(p, true) != tc.spot || hired(p, false) != tc.own {
+			t.Errorf("%s: %+v, want %d spot and %d others", tc.name, p.Hire, tc.spot, tc.own)
+		}
+		for _, h := range p.Hire {
+			if tc.spec.Zone != nil && h.Zone != *tc.spec.Zone {
+				t.Errorf("%s: hired in %s", tc.name, h.Zone)
+			}
+		}
+	}
+}
+
+func TestDrain(t *testing.T) {
+	full := ledger.NewResources(8, 4, 64)
+	unit := func(id string, idle time.Duration, spot bool) Unit {
+		u := Unit{ID: wire.MachineID(id), Type: "g", Zone: "a", Spot: spot, Usable: true, Free: full}
+		if idle > 0 {
+			u.IdleSince = now.Add(-idle)
+		}
+		return u
+	}
+	in := input(t)
+	in.Units = []Unit{unit("busy", 0, false), unit("new", 30*time.Second, false), unit("spot", 2*time.Minute, true), unit("dear", 90*time.Second, false)}
+	if p := Make(in); len(p.Drain) != 2 || p.Drain[0] != "dear" || p.Drain[1] != "spot" {
+		t.Errorf("drained %v", p.Drain)
+	}
+	in = input(t, wire.JobSpec{Tasks: 1, GPUs: 1})
+	in.Units = []Unit{unit("dear", 90*time.Second, false)}
+	if p := Make(in); len(p.Drain) != 0 || len(p.Hire) != 0 {
+		t.Errorf("a machine that pending work fits on: %+v", p)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -64,6 +64,8 @@
 	Done     int // tasks done
 	Claimed  int // tasks claimed
 	chunks   map[int]*Chunk
+
+	chunkTasks int
 }
 
 // Pending is the number of tasks that are neither done nor claimed.
@@ -74,6 +76,12 @@
 	return j.Spec.Tasks - j.Done - j.Claimed
 }
 
+// TaskDone reports whether a task is on record as done.
+func (j *Job) TaskDone(t wire.TaskIndex) bool {
+	c := j.chunks[int(t)/j.chunkTasks]
+	return c != nil && c.isDone(int(t)%j.chunkTasks)
+}
+
 // Attempt is the last attempt given out to the job's first tasks; for a gang,
 // to all of them.
 func (j *Job) Attempt() wire.Attempt { return j.chunks[0].Attempt }
@@ -301,7 +309,7 @@
 		return strconv.ErrSyntax
 	}
 	if j == nil {
-		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{},
+		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{}, chunkTasks: l.limits.ChunkTasks(),
 			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB)}
 		l.jobs[id] = j
 	}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,291 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/model"
+	"maddermill/internal/standin"
+	"maddermill/internal/state"
+	"maddermill/wire"
+)
+
+var limits = ledger.Limits{ValueBytes: 2048, TxnOps: 8, TxnBytes: state.TxnBytes,
+	TeamMax: map[wire.Team]ledger.Resources{"capped": ledger.NewResources(0, 4, 0)}}
+
+func site(m int, token wire.Token) ledger.Site {
+	return ledger.Site{Machine: wire.MachineID(fmt.Sprintf("host-%d", m)), Type: "g2", Zone: []wire.Zone{"a", "b"}[m%2], Session: 1, Token: token}
+}
+
+func spec(rng *rand.Rand, i int) *wire.JobSpec {
+	s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: []wire.Team{"free", "capped"}[rng.IntN(2)],
+		Shape: wire.Array, Priority: wire.Normal, Tasks: 1 + rng.IntN(20), CPUs: 1, GPUs: 1, Image: "i"}
+	switch rng.IntN(5) {
+	case 0:
+		s.OneZone = true
+	case 1:
+		s.Spread = true
+	case 2:
+		s.Shape, s.Tasks = wire.Gang, 1+rng.IntN(4)
+	}
+	return s
+}
+
+// mirror brings a ledger up to some revision, as a watch that lags would.
+func mirror(l *ledger.Ledger, items *[]ledger.Event, upTo int) {
+	for _, e := range (*items)[:upTo] {
+		l.Apply(e)
+		l.CaughtUp(e.Version)
+	}
+}
+
+// history lets stale controllers draft against what they last saw, and checks
+// every commit that the store takes against the plain model.
+func history(seed uint64, blind string, steps int) (bad []string, commits, conflicts int) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	store := standin.NewStore(limits.TxnOps, limits.ValueBytes)
+	if blind != "" {
+		store.Blind = map[string]bool{blind: true}
+	}
+	var events []ledger.Event
+	ledgers := []*ledger.Ledger{ledger.New(limits), ledger.New(limits), ledger.New(limits)}
+	truth := ledger.New(limits)
+	var ids []wire.JobID
+	proven := map[wire.TaskID][]ledger.Claim{}
+	var late []wire.Txn
+	commit := func(t wire.Txn) error {
+		before := model.Read(truth, ids)
+		rev, err := store.Apply(t)
+		if err != nil {
+			conflicts++
+			return err
+		}
+		for _, c := range t.Then {
+			e := ledger.Event{Key: c.Put, Value: c.Value, Version: rev}
+			events = append(events, e)
+			truth.Apply(e)
+		}
+		commits++
+		after := model.Read(truth, ids)
+		caps := map[wire.Team]float64{"capped": 4}
+		bad = append(bad, model.Check(before, after, caps, func(t wire.TaskID, c ledger.Claim) bool {
+			return slices.Contains(proven[t], c)
+		})...)
+		return nil
+	}
+	leader, _ := store.Apply(wire.Txn{Then: []wire.Change{{Put: ledger.LeaderKey, Value: []byte(`{"by":"m-0","token":1}`)}}})
+	events = append(events, ledger.Event{Key: ledger.LeaderKey, Value: []byte(`{"by":"m-0","token":1}`), Version: leader})
+	for step := range steps {
+		who := rng.IntN(len(ledgers))
+		l := ledgers[who]
+		mirror(l, &events, len(events)-rng.IntN(min(len(events), 6)+1))
+		d := l.NewDraft()
+		for range 1 + rng.IntN(3) {
+			if len(ids) == 0 || rng.IntN(12) == 0 {
+				s := spec(rng, step)
+				ids = append(ids, s.ID)
+				_ = d.Submit(s, wire.UnixMillis(step))
+				continue
+			}
+			j := l.Job(ids[rng.IntN(len(ids))])
+			if j == nil {
+				continue
+			}
+			machine := rng.IntN(6)
+			switch rng.IntN(12) {
+			case 0:
+				_, _ = d.Cancel(j)
+			case 1:
+				_ = d.SetMark(site(machine, 0).Machine, ledger.Draining, "test", leader)
+			case 2, 3, 4, 5, 6:
+				if j.Spec.Shape == wire.Gang {
+					left, parts := j.Pending(), []ledger.Placed(nil)
+					for left > 0 {
+						n := 1 + rng.IntN(left)
+						parts = append(parts, ledger.Placed{Site: site(rng.IntN(6), wire.Token(who+1)), Count: n})
+						left -= n
+					}
+					if parts != nil {
+						_ = d.ClaimGang(j, parts)
+					}
+				} else {
+					_, _ = d.Claim(j, site(machine, wire.Token(who+1)), 1+rng.IntN(5))
+				}
+			default:
+				j.Claims(func(c ledger.Claim) bool {
+					t := c.First + wire.TaskIndex(rng.IntN(c.Count))
+					one := c
+					one.First, one.Count = t, 1
+					if d.Exit(j, c, t, rng.IntN(2) == 0) == nil {
+						id := wire.TaskID{Job: j.ID, Index: t}
+						proven[id] = append(proven[id], one)
+					}
+					return rng.IntN(2) == 0
+				})
+			}
+		}
+		t, err := d.Txn()
+		if err != nil {
+			return append(bad, err.Error()), commits, conflicts
+		}
+		if len(t.Then) == 0 {
+			continue
+		}
+		if rng.IntN(8) == 0 {
+			late = append(late, t) // held back: applied some time later
+			continue
+		}
+		_ = commit(t)
+		if len(late) > 0 && rng.IntN(4) == 0 {
+			_ = commit(late[0])
+			late = late[1:]
+		}
+	}
+	return append(bad, store.Problems...), commits, conflicts
+}
+
+func TestStaleControllersKeepTheRules(t *testing.T) {
+	for seed := uint64(1); seed <= 30; seed++ {
+		bad, commits, conflicts := history(seed, "", 400)
+		if len(bad) > 0 {
+			t.Fatalf("seed %d: %v", seed, bad[0])
+		}
+		if commits < 50 || conflicts < 5 {
+			t.Errorf("seed %d: only %d commits and %d conflicts", seed, commits, conflicts)
+		}
+	}
+}
+
+// TestRemovedGuardsAreSeen shows that the checks above can fail: without the
+// conditions on one kind of record, the rule that they hold breaks.
+func TestRemovedGuardsAreSeen(t *testing.T) {
+	for _, tc := range []struct{ blind, rule string }{
+		{"mm1/j/", "ran_twice"},
+		{"mm1/j/", "went_back"},
+		{"mm1/t/", "ran_twice"},
+		{"mm1/u/", "quota"},
+		{"mm1/m/", "a start on a leaving machine"},
+	} {
+		seen := false
+		for seed := uint64(1); seed <= 60 && !seen; seed++ {
+			bad, _, _ := history(seed, tc.blind, 400)
+			seen = slices.ContainsFunc(bad, func(s string) bool { return strings.HasPrefix(s, tc.rule) })
+		}
+		if !seen {
+			t.Errorf("without conditions on %s nothing broke %q", tc.blind, tc.rule)
+		}
+	}
+}
+
+func TestLargeJobsAreKeptInRanges(t *testing.T) {
+	l := ledger.New(limits)
+	store := standin.NewStore(limits.TxnOps, limits.ValueBytes)
+	run := func(f func(*ledger.Draft) error) {
+		t.Helper()
+		d := l.NewDraft()
+		if err := f(d); err != nil {
+			t.Fatal(err)
+		}
+		txn, err := d.Txn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		rev, err := store.Apply(txn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range txn.Then {
+			l.Apply(ledger.Event{Key: c.Put, Value: c.Value, Version: rev})
+		}
+	}
+	s := &wire.JobSpec{ID: "wk-000001", Class: "c", Team: "free", Shape: wire.Array, Priority: wire.Normal, Tasks: 50, CPUs: 1, Image: "i"}
+	run(func(d *ledger.Draft) error { return d.Submit(s, 1) })
+	j := l.Job(s.ID)
+	for j.Pending() > 0 {
+		run(func(d *ledger.Draft) error { _, err := d.Claim(j, site(1, 1), 20); return err })
+	}
+	for i := range 50 {
+		if j.State != ledger.Active {
+			t.Fatalf("%s after %d of 50 tasks", j.State, i)
+		}
+		run(func(d *ledger.Draft) error {
+			var claim ledger.Claim
+			j.Claims(func(c ledger.Claim) bool { claim = c; return false })
+			return d.Exit(j, claim, claim.First, true)
+		})
+	}
+	if j.State != ledger.Done || j.Done != 50 || l.HeldBy("host-1") != nil {
+		t.Errorf("state %q, %d done, %d held", j.State, j.Done, len(l.HeldBy("host-1")))
+	}
+	if _, err := l.NewDraft().Cancel(j); err != nil || j.Status() != wire.Done {
+		t.Errorf("a done job can be cancelled: %v", err)
+	}
+}
+
+// TestTwoLastRanges: two controllers that record the last tasks of different
+// ranges at once both see the other's open. The job must still end.
+func TestTwoLastRanges(t *testing.T) {
+	l := ledger.New(limits)
+	store := standin.NewStore(limits.TxnOps, limits.ValueBytes)
+	apply := func(d *ledger.Draft) {
+		txn, _ := d.Txn()
+		rev, err := store.Apply(txn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range txn.Then {
+			l.Apply(ledger.Event{Key: c.Put, Value: c.Value, Version: rev})
+		}
+	}
+	size := limits.ChunkTasks()
+	s := &wire.JobSpec{ID: "wk-000001", Class: "c", Team: "free", Shape: wire.Array, Priority: wire.Normal, Tasks: 3 * size, CPUs: 1, Image: "i"}
+	d := l.NewDraft()
+	_ = d.Submit(s, 1)
+	apply(d)
+	j := l.Job(s.ID)
+	for j.Pending() > 0 {
+		d = l.NewDraft()
+		if _, err := d.Claim(j, site(0, 1), 3*size); err != nil {
+			t.Fatal(err)
+		}
+		apply(d)
+	}
+	exit := func(task int) *ledger.Draft {
+		d := l.NewDraft()
+		j.Claims(func(c ledger.Claim) bool {
+			if int(c.First) <= task && task < int(c.First)+c.Count {
+				if err := d.Exit(j, c, wire.TaskIndex(task), true); err != nil && !errors.Is(err, ledger.ErrStale) {
+					t.Fatal(err)
+				}
+			}
+			return true
+		})
+		return d
+	}
+	for i := range 3*size - 1 {
+		if i != 2*size-1 {
+			apply(exit(i))
+		}
+	}
+	one, other := exit(2*size-1), exit(3*size-1)
+	apply(one)
+	apply(other)
+	if j.Done != 3*size {
+		t.Fatalf("%d of %d done", j.Done, 3*size)
+	}
+	if j.State == ledger.Active {
+		d = l.NewDraft()
+		if err := d.Finish(j); err != nil {
+			t.Fatal(err)
+		}
+		apply(d)
+	}
+	if j.State != ledger.Done {
+		t.Errorf("the job is %q", j.State)
+	}
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,182 @@
+// Package model is the slow, plain model that tests compare the real code with:
+// what the rules allow to happen between two states of the records, and the
+// placement path read straight from the design.
+package model
+
+import (
+	"fmt"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/wire"
+)
+
+// Job is a job as it stands.
+type Job struct {
+	Spec   wire.JobSpec
+	State  ledger.JobState
+	Done   map[wire.TaskIndex]bool
+	Claims map[wire.TaskIndex]ledger.Claim
+}
+
+// State is everything that is on record, task by task.
+type State struct {
+	Jobs  map[wire.JobID]Job
+	Marks map[wire.MachineID]ledger.MachineMark
+}
+
+// Read spells a ledger out.
+func Read(l *ledger.Ledger, ids []wire.JobID) State {
+	s := State{Jobs: map[wire.JobID]Job{}, Marks: map[wire.MachineID]ledger.MachineMark{}}
+	for _, id := range ids {
+		j := l.Job(id)
+		if j == nil {
+			continue
+		}
+		o := Job{Spec: *j.Spec, State: j.State, Done: map[wire.TaskIndex]bool{}, Claims: map[wire.TaskIndex]ledger.Claim{}}
+		for i := range j.Spec.Tasks {
+			if t := wire.TaskIndex(i); j.TaskDone(t) {
+				o.Done[t] = true
+			}
+		}
+		j.Claims(func(c ledger.Claim) bool {
+			for i := range c.Count {
+				one := c
+				one.First, one.Count = c.First+wire.TaskIndex(i), 1
+				o.Claims[one.First] = one
+			}
+			return true
+		})
+		s.Jobs[id] = o
+	}
+	l.Marks(func(m wire.MachineID, k ledger.MachineMark) { s.Marks[m] = k })
+	return s
+}
+
+// Check lists what is not allowed between two states. proven holds the claims
+// whose tasks are known to be gone.
+func Check(before, after State, limits map[wire.Team]float64, proven func(wire.TaskID, ledger.Claim) bool) []string {
+	var bad []string
+	complain := func(f string, a ...any) { bad = append(bad, fmt.Sprintf(f, a...)) }
+	for id, old := range before.Jobs {
+		now, ok := after.Jobs[id]
+		if !ok {
+			complain("forgotten: %s", id)
+			continue
+		}
+		if old.State != ledger.Active && now.State != old.State {
+			complain("went_back: %s from %s to %q", id, old.State, now.State)
+		}
+		for t := range old.Done {
+			if !now.Done[t] {
+				complain("went_back: %s/%d is no longer done", id, t)
+			}
+		}
+		for t, c := range old.Claims {
+			if now.Claims[t] != c && !proven(wire.TaskID{Job: id, Index: t}, c) {
+				complain("ran_twice: the claim of %s/%d on %s went without proof", id, t, c.Machine)
+			}
+		}
+	}
+	used := map[wire.Team]float64{}
+	for id, now := range after.Jobs {
+		old := before.Jobs[id]
+		if now.State == ledger.Done && len(now.Done) != now.Spec.Tasks {
+			complain("not_done: %s with %d of %d", id, len(now.Done), now.Spec.Tasks)
+		}
+		zones := map[wire.Zone]int{}
+		started := false
+		for t, c := range now.Claims {
+			zones[c.Zone]++
+			used[now.Spec.Team] += now.Spec.GPUs
+			if old.Claims[t] == c {
+				continue
+			}
+			started = true
+			if now.Done[t] {
+				complain("a done task starts: %s/%d", id, t)
+			}
+			if old.State != ledger.Active {
+				complain("ran_cancelled: %s/%d starts", id, t)
+			}
+			if before.Marks[c.Machine] != "" {
+				complain("a start on a leaving machine: %s/%d on %s", id, t, c.Machine)
+			}
+			if now.Spec.Zone != nil && *now.Spec.Zone != c.Zone {
+				complain("wrong_place: %s/%d in %s", id, t, c.Zone)
+			}
+		}
+		if started && now.Spec.OneZone && len(zones) > 1 {
+			complain("wrong_place: %s is not together", id)
+		}
+		for z, n := range zones {
+			if started && now.Spec.Spread && n > (now.Spec.Tasks+1)/2 {
+				complain("wrong_place: %d of %s in %s", n, id, z)
+			}
+		}
+		if started && now.Spec.Shape == wire.Gang && len(now.Claims)+len(now.Done) != now.Spec.Tasks {
+			complain("a part of gang %s starts", id)
+		}
+	}
+	for team, limit := range limits {
+		if used[team] > limit {
+			complain("quota: %s uses %g of %g", team, used[team], limit)
+		}
+	}
+	return bad
+}
+
+// OnRoom is the design's placement path, one task at a time, without shortcuts:
+// walk the jobs in order; of each, place task after task that has its image
+// cached here, or being fetched here, or may be fetched here.
+func OnRoom(v *place.View, m *place.Machine) map[wire.JobID]int {
+	given := map[wire.JobID]int{}
+	if !m.Usable {
+		return given
+	}
+	fetching := map[wire.Image]bool{}
+	underWay := m.Images.Fetches(v.Now, v.Limits.FetchMark)
+	free, cold := m.Free, v.Cold
+	taken := map[wire.Team]ledger.Resources{}
+	for _, e := range v.Queue {
+		j := e.Job
+		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
+			continue
+		}
+		if j.Spec.Shape == wire.Gang && j.Spec.Tasks-j.Done > 1 || v.Now.Before(e.Retry) {
+			continue
+		}
+		for {
+			left := j.Pending() - given[j.ID]
+			if e.Taken != nil {
+				left -= *e.Taken
+			}
+			if left <= 0 || !free.Fits(j.Need) || j.ZoneRoom(m.Zone) <= given[j.ID] ||
+				!ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) || e.Avoid != nil && e.Avoid(m.ID) ||
+				v.TeamRoom(j, taken[j.Spec.Team], 1) < 1 {
+				break
+			}
+			image := j.Spec.Image
+			if !m.Images.Has(image) && !m.Images.Underway(image) && !(fetching[image] && given[j.ID] > 0) {
+				elsewhere := false
+				for _, o := range v.Machines {
+					keep, kept := v.Withheld[o.ID]
+					elsewhere = elsewhere || o.ID != m.ID && o.Usable && o.Images.Has(image) && o.Free.Fits(j.Need) &&
+						ledger.Allowed(j.Spec, o.Type, o.Zone, o.Spot) && j.ZoneRoom(o.Zone) > 0 && (!kept || keep == j.ID) &&
+						(e.Avoid == nil || !e.Avoid(o.ID))
+				}
+				if underWay > 0 || cold >= v.Limits.ColdStarts || elsewhere && e.Waiting <= time.Duration(v.Limits.DeferCold) {
+					break
+				}
+				fetching[image] = true
+				underWay++
+				cold++
+			}
+			given[j.ID]++
+			free = free.Add(j.Need, -1)
+			taken[j.Spec.Team] = taken[j.Spec.Team].Add(j.Need, 1)
+		}
+	}
+	return given
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,145 @@
+package place_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/model"
+	"maddermill/internal/place"
+	"maddermill/wire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func jobs(t *testing.T, rng *rand.Rand, l *ledger.Ledger, n int) []place.Entry {
+	t.Helper()
+	var out []place.Entry
+	for i := range n {
+		s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: []wire.Team{"free", "capped"}[rng.IntN(2)],
+			Shape: wire.Array, Priority: []wire.Priority{wire.Production, wire.High, wire.Normal, wire.Low}[rng.IntN(4)],
+			Tasks: 1 + rng.IntN(6), CPUs: float64(1 + rng.IntN(4)), GPUs: float64(rng.IntN(3)), MemoryGB: 1,
+			Image: wire.Image(fmt.Sprint("i", rng.IntN(4))), Spot: rng.IntN(2) == 0, OneZone: rng.IntN(4) == 0, Spread: rng.IntN(4) == 0}
+		if rng.IntN(4) == 0 {
+			s.Shape, s.Tasks = wire.Gang, 1+rng.IntN(2)
+		}
+		d := l.NewDraft()
+		if err := d.Submit(s, wire.UnixMillis(rng.IntN(100))); err != nil {
+			t.Fatal(err)
+		}
+		txn, _ := d.Txn()
+		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: wire.Revision(i + 1)})
+		taken := rng.IntN(2) * rng.IntN(2)
+		out = append(out, place.Entry{Job: l.Job(s.ID), Beyond: rng.IntN(2) == 0, Taken: &taken, Waiting: time.Duration(rng.IntN(20)) * time.Second,
+			Retry: start.Add(time.Duration(rng.IntN(8)-6) * time.Second)})
+	}
+	place.Order(out)
+	return out
+}
+
+func machine(rng *rand.Rand, id int) *place.Machine {
+	m := &place.Machine{ID: wire.MachineID(fmt.Sprint("host-", id)), Type: "g", Zone: []wire.Zone{"a", "b"}[rng.IntN(2)], Spot: rng.IntN(2) == 0,
+		Total: ledger.NewResources(8, 4, 16), Images: place.NewImages(100), Usable: rng.IntN(5) > 0}
+	m.Free = ledger.NewResources(float64(rng.IntN(9)), float64(rng.IntN(5)), 16)
+	for i := range 4 {
+		switch rng.IntN(4) {
+		case 0:
+			m.Images.Used(wire.Image(fmt.Sprint("i", i)), 5)
+		case 1:
+			if rng.IntN(3) == 0 {
+				m.Images.Fetching(wire.Image(fmt.Sprint("i", i)), start.Add(-time.Duration(rng.IntN(90))*time.Second))
+			}
+		}
+	}
+	return m
+}
+
+// TestPathAgainstModel compares the placement path with the plain model on
+// random queues and machines.
+func TestPathAgainstModel(t *testing.T) {
+	nonEmpty := 0
+	for seed := uint64(1); seed <= 3000; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000,
+			TeamMax: map[wire.Team]ledger.Resources{"capped": ledger.NewResources(5, 3, 0)}})
+		v := &place.View{Now: start, Queue: jobs(t, rng, l, 1+rng.IntN(8)), TeamRoom: l.TeamRoom, Cold: rng.IntN(3),
+			Limits:   place.Limits{ColdStarts: 2, FetchMark: time.Minute, DeferCold: 9 * time.Second},
+			Withheld: map[wire.MachineID]wire.JobID{}}
+		for i := range 3 {
+			v.Machines = append(v.Machines, machine(rng, i))
+		}
+		if rng.IntN(3) == 0 {
+			v.Withheld[v.Machines[rng.IntN(3)].ID] = v.Queue[0].Job.ID
+		}
+		m := v.Machines[0]
+		want := model.OnRoom(v, m)
+		got := map[wire.JobID]int{}
+		for _, s := range place.OnRoom(v, m) {
+			got[s.Job.ID] += s.Count
+		}
+		if !maps.Equal(got, want) {
+			t.Fatalf("seed %d: placed %v, the model %v", seed, got, want)
+		}
+		if len(got) > 0 {
+			nonEmpty++
+		}
+	}
+	if nonEmpty < 500 {
+		t.Errorf("only %d of 3000 cases place anything", nonEmpty)
+	}
+}
+
+// TestGangIsWhole: a gang is placed whole, within every rule, or not at all.
+func TestGangIsWhole(t *testing.T) {
+	placed := 0
+	for seed := uint64(1); seed <= 2000; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000})
+		s := &wire.JobSpec{ID: "wk-000001", Class: "c", Team: "t", Shape: wire.Gang, Priority: wire.High, Tasks: 2 + rng.IntN(5),
+			CPUs: 2, GPUs: 1, MemoryGB: 1, Image: "i1", Spot: rng.IntN(2) == 0, OneZone: rng.IntN(2) == 0, Spread: rng.IntN(3) == 0}
+		d := l.NewDraft()
+		_ = d.Submit(s, 1)
+		txn, _ := d.Txn()
+		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: 1})
+		v := &place.View{Now: start, TeamRoom: l.TeamRoom, Queue: []place.Entry{{Job: l.Job(s.ID)}}}
+		for i := range 5 {
+			v.Machines = append(v.Machines, machine(rng, i))
+		}
+		parts := place.Gang(v, &v.Queue[0])
+		if parts == nil {
+			continue
+		}
+		placed++
+		if err := l.NewDraft().ClaimGang(l.Job(s.ID), parts); err != nil {
+			t.Fatalf("seed %d: %+v is refused: %v", seed, parts, err)
+		}
+		for _, p := range parts {
+			for _, m := range v.Machines {
+				if m.ID == p.Site.Machine && m.Free.Times(l.Job(s.ID).Need, 100) < p.Count {
+					t.Fatalf("seed %d: %d tasks do not fit on %s", seed, p.Count, m.ID)
+				}
+			}
+		}
+	}
+	if placed < 200 {
+		t.Errorf("only %d of 2000 gangs placed", placed)
+	}
+}
+
+func TestImagesForgetTheLeastRecentlyUsed(t *testing.T) {
+	c := place.NewImages(10)
+	c.Used("a", 4)
+	c.Used("b", 4)
+	c.Used("a", 4)
+	c.Used("c", 4)
+	if c.Has("b") || !c.Has("a") || !c.Has("c") {
+		t.Errorf("cached: %v", c.Names())
+	}
+	c.Fetching("d", start)
+	if c.Fetches(start.Add(time.Minute), time.Minute) != 1 || c.Fetches(start.Add(61*time.Second), time.Minute) != 0 {
+		t.Error("a mark must last for its age and no longer")
+	}
+}
--- /dev/null
+++ b/internal/workers/workers_test.go
@@ -0,0 +1,113 @@
+package workers
+
+import (
+	"testing"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/wire"
+)
+
+const hold = wire.Token(7)
+
+func held(session wire.Session, token wire.Token, state ledger.JobState) []ledger.Held {
+	j := &ledger.Job{ID: "wk-000001", Spec: &wire.JobSpec{Tasks: 1, Shape: wire.Array, Save: 2, Checkpoint: 5}, State: state}
+	return []ledger.Held{{Job: j, Claim: ledger.Claim{First: 0, Count: 1, Attempt: 3, Machine: "host-1", Session: session, Token: token}}}
+}
+
+func report(session wire.Session, tally wire.Tally, token wire.Token, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: "host-1", Session: session, Tally: tally, Token: token, Tasks: tasks}
+}
+
+func task(state wire.TaskState, attempt wire.Attempt) wire.TaskReport {
+	return wire.TaskReport{Task: wire.TaskID{Job: "wk-000001", Index: 0}, Attempt: attempt, State: state}
+}
+
+// TestProof: a claim is over only when the report proves it; silence, a report
+// under another token and one from before the start was sent prove nothing.
+func TestProof(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		held  []ledger.Held
+		r     *wire.Report
+		sent  wire.Tally // by the answer to which report the start went out; 0: not
+		exits int
+	}{
+		{"absent, claimed under a lower token, worker has accepted ours", held(1, 5, ""), report(1, 9, hold), 0, 1},
+		{"absent, claimed under a lower token, worker has not accepted ours", held(1, 5, ""), report(1, 9, 5), 0, 0},
+		{"absent, claimed under a higher token: another holds it", held(1, 8, ""), report(1, 9, hold), 0, 0},
+		{"absent, ours, wanted: it is sent instead", held(1, hold, ""), report(1, 9, hold), 0, 0},
+		{"absent, ours, cancelled, never sent", held(1, hold, ledger.Cancelled), report(1, 9, hold), 0, 1},
+		{"absent, ours, cancelled, sent with the answer before", held(1, hold, ledger.Cancelled), report(1, 9, hold), 8, 1},
+		{"absent, ours, cancelled, sent with the answer to this report", held(1, hold, ledger.Cancelled), report(1, 9, hold), 9, 0},
+		{"a later session", held(1, 8, ""), report(2, 1, 5), 0, 1},
+		{"an earlier session", held(2, 5, ""), report(1, 9, hold), 0, 0},
+		{"exited", held(1, 8, ""), report(1, 9, 5, task(wire.TaskExited, 3)), 0, 1},
+		{"another attempt exited", held(1, 8, ""), report(1, 9, hold, task(wire.TaskExited, 2)), 0, 0},
+		{"running", held(1, 5, ledger.Cancelled), report(1, 9, hold, task(wire.TaskRunning, 3)), 0, 0},
+	} {
+		w := NewWorker(tc.r, time.Time{})
+		w.Session = tc.r.Session
+		if tc.sent != 0 {
+			w.sent[claimID{wire.TaskID{Job: "wk-000001"}, 3}] = tc.sent
+		}
+		if f := w.Take(tc.r, tc.held, hold, time.Time{}); len(f.Exits) != tc.exits {
+			t.Errorf("%s: %d exits, want %d", tc.name, len(f.Exits), tc.exits)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	recall := wire.Seconds(5)
+	for _, tc := range []struct {
+		name     string
+		held     []ledger.Held
+		r        *wire.Report
+		mayStart bool
+		want     string
+		grace    wire.Seconds
+	}{
+		{"start", held(1, hold, ""), report(1, 9, hold), true, "run", 0},
+		{"no start while a cancellation may be missed", held(1, hold, ""), report(1, 9, hold), false, "", 0},
+		{"no start for a claim under another token", held(1, 6, ""), report(1, 9, hold), true, "", 0},
+		{"no start for a claim of another session", held(2, hold, ""), report(1, 9, hold), true, "", 0},
+		{"no start for a cancelled job", held(1, hold, ledger.Cancelled), report(1, 9, hold), true, "", 0},
+		{"no second start", held(1, hold, ""), report(1, 9, hold, task(wire.TaskFetching, 3)), true, "", 0},
+		{"stop of a cancelled job at once", held(1, hold, ledger.Cancelled), report(1, 9, hold, task(wire.TaskRunning, 3)), true, "stop", 0},
+		{"an exit on record is forgotten", nil, report(1, 9, hold, task(wire.TaskExited, 3)), true, "clear", 0},
+		{"an exit not yet on record is kept", held(1, hold, ""), report(1, 9, hold, task(wire.TaskExited, 3)), true, "", 0},
+		{"an exit is kept while another may have claimed it", nil, report(1, 9, 6, task(wire.TaskExited, 3)), true, "", 0},
+		{"a task without a claim is stopped", nil, report(1, 9, hold, task(wire.TaskRunning, 3)), true, "stop", 0},
+	} {
+		w := NewWorker(tc.r, time.Time{})
+		w.Take(tc.r, tc.held, hold, time.Time{})
+		cmds := w.Commands(tc.r, tc.held, tc.mayStart)
+		got := ""
+		if len(cmds) > 0 {
+			got = string(cmds[0].Op)
+		}
+		if got != tc.want || len(cmds) > 1 || got == "stop" && *cmds[0].Grace != tc.grace {
+			t.Errorf("%s: %+v, want %q", tc.name, cmds, tc.want)
+		}
+	}
+	r := report(1, 9, hold, task(wire.TaskRunning, 3))
+	r.Notice = &recall
+	w := NewWorker(r, time.Time{})
+	w.Take(r, held(1, hold, ""), hold, time.Time{})
+	if cmds := w.Commands(r, held(1, hold, ""), true); len(cmds) != 1 || cmds[0].Op != wire.OpStop || *cmds[0].Grace < 2 {
+		t.Errorf("before a recall a task must save: %+v", cmds)
+	}
+}
+
+func TestStaleReports(t *testing.T) {
+	w := NewWorker(report(2, 5, 0), time.Time{})
+	w.Take(report(2, 5, 0), nil, hold, time.Time{})
+	for _, r := range []*wire.Report{report(1, 90, hold), report(2, 5, hold), report(2, 4, hold)} {
+		if !w.Stale(r) {
+			t.Errorf("%d/%d is not taken for stale", r.Session, r.Tally)
+		}
+	}
+	if w.Stale(report(2, 6, 0)) || w.Stale(report(3, 1, 0)) {
+		t.Error("a newer report is taken for stale")
+	}
+}
