--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -46,6 +46,8 @@
 	images   map[wire.MachineID]*imageState
 	peers    map[wire.MemberID]*peer
 	jobs     map[wire.JobID]*jobNotes
+	classes  classSums
+	claimed  map[claimKey]time.Time // when a claim was first seen
 	queue    []place.Entry
 	queueAt  time.Time
 	withheld map[wire.MachineID]wire.JobID
@@ -70,6 +72,13 @@
 	local  time.Time // when it was taken in
 }
 
+type claimKey struct {
+	machine wire.MachineID
+	job     wire.JobID
+	attempt wire.Attempt
+	first   wire.TaskIndex
+}
+
 // jobNotes is what a controller remembers of a job besides its record.
 type jobNotes struct {
 	since  time.Time // pending since, as seen here
@@ -84,7 +93,7 @@
 	c := &Core{set: set, store: store, log: log, Stats: metrics.New(), boot: time.Now(),
 		advanced: make(chan struct{}), workers: map[wire.MachineID]*workers.Worker{},
 		images: map[wire.MachineID]*imageState{}, peers: map[wire.MemberID]*peer{},
-		jobs: map[wire.JobID]*jobNotes{}, withheld: map[wire.MachineID]wire.JobID{},
+		jobs: map[wire.JobID]*jobNotes{}, classes: classSums{}, claimed: map[claimKey]time.Time{}, withheld: map[wire.MachineID]wire.JobID{},
 		barriers: make(chan *barrier, 1), wantToken: make(chan wire.Token, 1),
 		submitted: make(chan *change, 4096), userCommit: make(chan struct{}, 32)}
 	c.led = ledger.New(c.limits())
@@ -402,6 +411,9 @@
 	if !c.contact.IsZero() {
 		s.ContactMS = now.Sub(c.contact).Milliseconds()
 	}
+	for _, o := range c.classes {
+		s.Classes = append(s.Classes, *o)
+	}
 	for _, w := range c.workers {
 		if now.Sub(w.Heard) > 2*time.Minute {
 			continue
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -169,6 +169,9 @@
 		case wire.CauseDone:
 			delete(w.Errors, j.ID)
 			n.errors = 0
+			if e.Ran > 0 && j.Spec.Estimate > 0 {
+				c.classes.note(j.Spec.Class, e.Ran, j.Spec.Estimate.Duration())
+			}
 			im.Used(j.Spec.Image, j.Spec.ImageGB)
 		case wire.CauseError:
 			w.Errors[j.ID] = now
@@ -425,6 +428,11 @@
 		}
 	}
 	c.markBeyond(entries)
+	for i := range entries {
+		e := &entries[i]
+		e.Expected = c.expected(e.Job)
+		e.StartBy = c.startBy(e.Job, e.Beyond, e.Expected, now)
+	}
 	place.Order(entries)
 	c.queue = entries
 	v := &place.View{Now: now, Queue: entries, TeamRoom: c.led.TeamRoom, Machines: c.machines(now),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -19,9 +19,32 @@
 	Zone      wire.Zone
 	Spot      bool
 	Booting   bool
-	Usable    bool             // takes tasks, or will when it is up
-	Free      ledger.Resources // of a usable one
-	IdleSince time.Time        // zero while it has claims
+	Usable    bool // takes tasks, or will when it is up
+	Total     ledger.Resources
+	Busy      []Busy    // what its tasks take, and until when
+	IdleSince time.Time // zero while it has claims
+}
+
+// Busy is room that is taken until some time.
+type Busy struct {
+	Until time.Time
+	Room  ledger.Resources
+}
+
+// room returns what is free at a time, as far as can be foreseen.
+func (u *Unit) room(at time.Time) ledger.Resources {
+	free := u.Total
+	for _, b := range u.Busy {
+		if b.Until.After(at) {
+			free = free.Add(b.Room, -1)
+		}
+	}
+	return free
+}
+
+// take puts n tasks on the machine until some time.
+func (u *Unit) take(need ledger.Resources, n int, until time.Time) {
+	u.Busy = append(u.Busy, Busy{until, ledger.Resources{}.Add(need, n)})
 }
 
 // Option is a kind of machine to rent.
@@ -102,19 +125,27 @@
 		if j.Spec.OneZone {
 			j.Claims(func(c ledger.Claim) bool { zone = c.Zone; return false })
 		}
+		e := &in.Queue[i]
+		// A machine rented now is up a boot time from now. For work that need
+		// not start before that, what is free by then does as well.
+		by := in.Now
+		if up := by.Add(in.boot(j)); e.StartBy.After(up) {
+			by = up
+		}
+		until := by.Add(e.Expected)
 		fits := func(s *slot) int {
 			u := &s.unit
 			if !ledger.Allowed(j.Spec, u.Type, u.Zone, u.Spot) || zone != "" && u.Zone != zone {
 				return 0
 			}
-			return u.Free.Times(j.Need, left)
+			return u.room(by).Times(j.Need, left)
 		}
 		for _, s := range slots {
 			if left == 0 {
 				break
 			}
 			if n := fits(s); n > 0 {
-				s.unit.Free = s.unit.Free.Add(j.Need, -n)
+				s.unit.take(j.Need, n, until)
 				s.used = true
 				left -= n
 				if j.Spec.OneZone {
@@ -129,12 +160,12 @@
 			}
 			f := in.Flavors[o.Type]
 			s := &slot{unit: Unit{Type: o.Type, Zone: o.Zone, Spot: o.Spot,
-				Free: ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)}, used: true, new: true}
+				Total: ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)}, used: true, new: true}
 			n := fits(s)
 			if n == 0 {
 				break
 			}
-			s.unit.Free = s.unit.Free.Add(j.Need, -n)
+			s.unit.take(j.Need, n, until)
 			left -= n
 			slots = append(slots, s)
 			hired[o]++
@@ -170,6 +201,17 @@
 	return plan
 }
 
+// boot is how soon a machine for the job could be up.
+func (in *Input) boot(j *ledger.Job) time.Duration {
+	var least time.Duration
+	for _, f := range in.Flavors {
+		if b := f.Boot.Duration(); (least == 0 || b < least) && ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB).Fits(j.Need) {
+			least = b
+		}
+	}
+	return least
+}
+
 func (u *Unit) option() Option { return Option{u.Type, u.Zone, u.Spot} }
 
 func (in *Input) price(o Option) float64 {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -58,8 +58,8 @@
 		{"packed", wire.JobSpec{Tasks: 8, GPUs: 1, CPUs: 1, Spot: true}, nil, nil, 0, 2, 0},
 		{"not on spot", wire.JobSpec{Tasks: 8, GPUs: 1, CPUs: 1}, nil, nil, 0, 0, 2},
 		{"spot refused", wire.JobSpec{Tasks: 4, GPUs: 1, Spot: true}, nil, func(o Option) bool { return o.Spot }, 0, 0, 1},
-		{"one booting is counted", wire.JobSpec{Tasks: 8, GPUs: 1, Spot: true}, []Unit{{ID: "h", Type: "g", Zone: "a", Booting: true, Usable: true, Free: full}}, nil, 0, 1, 0},
-		{"room in the wrong zone does not count", wire.JobSpec{Tasks: 4, GPUs: 1, Spot: true, Zone: &zone}, []Unit{{ID: "h", Type: "g", Zone: "a", Usable: true, Free: full}}, nil, 0, 1, 0},
+		{"one booting is counted", wire.JobSpec{Tasks: 8, GPUs: 1, Spot: true}, []Unit{{ID: "h", Type: "g", Zone: "a", Booting: true, Usable: true, Total: full}}, nil, 0, 1, 0},
+		{"room in the wrong zone does not count", wire.JobSpec{Tasks: 4, GPUs: 1, Spot: true, Zone: &zone}, []Unit{{ID: "h", Type: "g", Zone: "a", Usable: true, Total: full}}, nil, 0, 1, 0},
 		{"bounded", wire.JobSpec{Tasks: 40, GPUs: 1, Spot: true}, nil, nil, 3, 3, 0},
 		{"nothing fits", wire.JobSpec{Tasks: 4, GPUs: 9, Spot: true}, nil, nil, 0, 0, 0},
 	} {
@@ -83,7 +83,7 @@
 func TestDrain(t *testing.T) {
 	full := ledger.NewResources(8, 4, 64)
 	unit := func(id string, idle time.Duration, spot bool) Unit {
-		u := Unit{ID: wire.MachineID(id), Type: "g", Zone: "a", Spot: spot, Usable: true, Free: full}
+		u := Unit{ID: wire.MachineID(id), Type: "g", Zone: "a", Spot: spot, Usable: true, Total: full}
 		if idle > 0 {
 			u.IdleSince = now.Add(-idle)
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -48,6 +48,15 @@
 	ContactMS int64         `cbor:"6,keyasint" json:"ct"`          // since it last reached the state service
 	Loaded    bool          `cbor:"7,keyasint" json:"ld"`          // its ledger has been read whole
 	Machines  []Machine     `cbor:"8,keyasint" json:"m,omitempty"` // that it holds
+	Classes   []ClassSum    `cbor:"9,keyasint" json:"cl,omitempty"`
+}
+
+// ClassSum is what a controller has seen of a class's run times, in seconds.
+type ClassSum struct {
+	Class     wire.Class `cbor:"1,keyasint" json:"n"`
+	Ran       float64    `cbor:"2,keyasint" json:"r"`
+	Estimated float64    `cbor:"3,keyasint" json:"e"`
+	Count     float64    `cbor:"4,keyasint" json:"c"`
 }
 
 // Answer is a peer's status with the time at which it was asked for, which is
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -112,6 +112,9 @@
 	Avoid   func(wire.MachineID) bool
 	Waiting time.Duration // how long it has been pending
 	Taken   *int          // tasks whose start is decided but not yet in the ledger
+
+	Expected time.Duration // how long a task is expected to run
+	StartBy  time.Time     // when tasks must start for the job to meet its aims
 }
 
 // pending is how many tasks there are to place.
