--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -193,8 +193,12 @@
 		return cmp.Or(cmp.Compare(in.price(b.option()), in.price(a.option())), a.IdleSince.Compare(b.IdleSince))
 	})
 	for _, u := range idle[:max(0, len(idle)-spare)] {
-		boot := in.Flavors[u.Type].Boot.Duration()
-		if in.Now.Sub(u.IdleSince) > time.Duration(in.IdleBoots*float64(boot)) {
+		f := in.Flavors[u.Type]
+		keep := in.IdleBoots * float64(f.Boot.Duration())
+		if p := in.price(u.option()); p > 0 && f.Price > p {
+			keep *= f.Price / p // a cheap machine is worth keeping, with its cache, for longer
+		}
+		if in.Now.Sub(u.IdleSince) > time.Duration(keep) {
 			plan.Drain = append(plan.Drain, u.ID)
 		}
 	}
