--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -51,6 +51,7 @@
 	queue    []place.Entry
 	queueAt  time.Time
 	withheld map[wire.MachineID]wire.JobID
+	making   map[wire.MachineID]room
 	prices   map[wire.MachineSKU]wire.Flavor // current ones, at the leader
 
 	barriers   chan *barrier
@@ -93,7 +94,7 @@
 	c := &Core{set: set, store: store, log: log, Stats: metrics.New(), boot: time.Now(),
 		advanced: make(chan struct{}), workers: map[wire.MachineID]*workers.Worker{},
 		images: map[wire.MachineID]*imageState{}, peers: map[wire.MemberID]*peer{},
-		jobs: map[wire.JobID]*jobNotes{}, classes: classSums{}, claimed: map[claimKey]time.Time{}, withheld: map[wire.MachineID]wire.JobID{},
+		jobs: map[wire.JobID]*jobNotes{}, classes: classSums{}, claimed: map[claimKey]time.Time{}, withheld: map[wire.MachineID]wire.JobID{}, making: map[wire.MachineID]room{},
 		barriers: make(chan *barrier, 1), wantToken: make(chan wire.Token, 1),
 		submitted: make(chan *change, 4096), userCommit: make(chan struct{}, 32)}
 	c.led = ledger.New(c.limits())
--- /dev/null
+++ b/internal/controller/preempt.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/internal/settings"
+	"maddermill/wire"
+)
+
+// room is a machine that is being emptied for a job.
+type room struct {
+	job   wire.JobID
+	until time.Time
+}
+
+// makeRoomFor is how long a machine is kept for the job it was emptied for.
+const makeRoomFor = 20 * time.Second
+
+// preempt stops lower work on this controller's machines for higher work that
+// no machine has room for.
+func (c *Core) preempt(ctx context.Context) error {
+	for c.set.Operators.Preempt && ctx.Err() == nil {
+		sleep(ctx, time.Second)
+		c.mu.Lock()
+		if now := time.Now(); c.loaded && now.Sub(c.contact) < startContact {
+			c.makeRoom(now)
+		}
+		c.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+func (c *Core) makeRoom(now time.Time) {
+	v := c.view(now)
+	var mine []*place.Machine
+	for _, m := range v.Machines {
+		if m.Mine {
+			mine = append(mine, m)
+		}
+	}
+	beyond := map[wire.Team]bool{}
+	for _, t := range c.set.Cluster.Teams {
+		used := c.led.Used(t.Name)
+		limit := ledger.NewResources(t.CPUs, t.GPUs, 0)
+		beyond[t.Name] = t.CPUs == 0 && t.GPUs == 0 || t.CPUs > 0 && used.CPU > limit.CPU || t.GPUs > 0 && used.GPU > limit.GPU
+	}
+	x := place.Evict(v, mine, func(m *place.Machine) []place.Victim {
+		w := c.workers[m.ID]
+		var out []place.Victim
+		for _, h := range c.led.HeldBy(m.ID) {
+			s := h.Job.Spec
+			if w.Stopping(h) || s.Shape == wire.Gang && s.Tasks > 1 || !c.canWait(h.Job, now) {
+				continue
+			}
+			out = append(out, place.Victim{Held: h, Beyond: beyond[s.Team], Saves: s.Checkpoint > 0, Ran: w.RunningFor(h, now)})
+		}
+		return out
+	}, func(j *ledger.Job) bool { return c.myTurn(j.ID, now) })
+	if x == nil {
+		return
+	}
+	w := c.workers[x.Machine.ID]
+	c.making[x.Machine.ID] = room{x.Entry.Job.ID, now.Add(makeRoomFor)}
+	for _, victim := range x.Victims {
+		h := victim.Held
+		w.Stop(h)
+		c.log.Info("preempt", "job", h.Job.ID, "task", h.First, "tasks", h.Count, "attempt", h.Attempt, "machine", w.ID, "for", x.Entry.Job.ID)
+		c.Stats.Add("preemptions_total", 1)
+	}
+}
+
+// canWait reports whether a job that is stopped now can still meet an aim once a
+// machine rented for it is up. Stopping work that has its own promise to keep
+// only moves the damage.
+func (c *Core) canWait(j *ledger.Job, now time.Time) bool {
+	guaranteed := c.set.Team(j.Spec.Team)
+	for _, o := range c.set.Cluster.Objectives {
+		if o.Kind == "wait" && o.Class == j.Spec.Class ||
+			o.Kind == "guarantee" && guaranteed != nil && (guaranteed.CPUs > 0 || guaranteed.GPUs > 0) {
+			return false // its start is what its users wait for
+		}
+	}
+	f, ok := c.led.Flavor(firstType(c, j))
+	again := now
+	if ok {
+		again = now.Add(f.Boot.Duration())
+	}
+	if !c.startBy(j, false, c.expected(j), again).IsZero() {
+		return true
+	}
+	if j.Spec.Deadline != nil {
+		return false
+	}
+	return !slices.ContainsFunc(c.set.Cluster.Objectives, func(o settings.Objective) bool { return o.Class == j.Spec.Class })
+}
+
+// firstType is a machine type that the job may run on.
+func firstType(c *Core, j *ledger.Job) wire.MachineSKU {
+	if len(j.Spec.Types) > 0 {
+		return j.Spec.Types[0]
+	}
+	for name := range c.led.Flavors() {
+		return name
+	}
+	return ""
+}
+
+// myTurn reports whether it is this controller's turn to make room for a job.
+// The turn moves on, so that one without suitable machines holds nothing up.
+func (c *Core) myTurn(id wire.JobID, now time.Time) bool {
+	members := []wire.MemberID{c.set.Member}
+	for m, p := range c.peers {
+		if now.Sub(p.asked) < 4*time.Second && p.status.Loaded {
+			members = append(members, m)
+		}
+	}
+	slices.Sort(members)
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	turn := (int64(h.Sum32()) + now.Unix()/3) % int64(len(members))
+	return members[turn] == c.set.Member
+}
+
+// keptFor adds the machines being emptied to those withheld.
+func (c *Core) keptFor(now time.Time) map[wire.MachineID]wire.JobID {
+	out := map[wire.MachineID]wire.JobID{}
+	for m, j := range c.withheld {
+		out[m] = j
+	}
+	for m, r := range c.making {
+		j := c.led.Job(r.job)
+		if now.After(r.until) || j == nil || j.Pending() == 0 {
+			delete(c.making, m)
+			continue
+		}
+		out[m] = r.job
+	}
+	return out
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -353,7 +353,7 @@
 	if now.Sub(c.queueAt) > time.Second {
 		c.reorder(now)
 	}
-	v := &place.View{Now: now, Queue: c.queue, TeamRoom: c.led.TeamRoom, Withheld: c.withheld,
+	v := &place.View{Now: now, Queue: c.queue, TeamRoom: c.led.TeamRoom, Withheld: c.keptFor(now),
 		Limits: place.Limits{ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
 			WithholdAfter: c.set.Operators.WithholdAfter, DeferCold: 3 * c.set.Cluster.Workers.Report.Duration()}}
 	v.Machines = c.machines(now)
--- /dev/null
+++ b/internal/place/preempt.go
@@ -0,0 +1,103 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"maddermill/internal/ledger"
+)
+
+// Victim is a claim that may be stopped, with what that costs.
+type Victim struct {
+	Held   ledger.Held
+	Beyond bool          // its job is beyond its team's guarantee
+	Saves  bool          // its progress is saved when it is stopped
+	Ran    time.Duration // how long it has run
+}
+
+// mayStop reports whether the rules of preemption let a job's start stop the
+// victim: lower priority, or another team's work beyond its guarantee for work
+// within one.
+func mayStop(e *Entry, v *Victim) bool {
+	a, b := e.Job.Spec, v.Held.Job.Spec
+	return b.Priority.Rank() > a.Priority.Rank() || a.Team != b.Team && v.Beyond && !e.Beyond
+}
+
+// wasteful is how much unsaved work one victim may lose.
+const wasteful = 10 * time.Second
+
+// Eviction makes room for a job on a machine.
+type Eviction struct {
+	Machine *Machine
+	Entry   *Entry
+	Victims []Victim
+}
+
+// Evict looks for the first job in order that no machine has room for and that
+// stopping lower work on one of mine would truly make room for. The machine
+// that caches its image is best, then the one where the least is lost.
+func Evict(v *View, mine []*Machine, victims func(*Machine) []Victim, turn func(*ledger.Job) bool) *Eviction {
+	for i := range v.Queue {
+		e := &v.Queue[i]
+		j := e.Job
+		if parts(j) > 1 || e.pending() == 0 || v.Now.Before(e.Retry) || !turn(j) || v.TeamRoom(j, ledger.Resources{}, 1) < 1 {
+			continue
+		}
+		served := slices.ContainsFunc(v.Machines, func(m *Machine) bool {
+			keep, kept := v.Withheld[m.ID]
+			return m.Usable && eligible(e, v.Now, m) && m.Free.Fits(j.Need) && j.ZoneRoom(m.Zone) > 0 && !kept || kept && keep == j.ID
+		})
+		if served {
+			continue
+		}
+		type option struct {
+			Eviction
+			fetch int
+			loss  time.Duration
+		}
+		var best *option
+		for _, m := range mine {
+			if _, kept := v.Withheld[m.ID]; kept || !m.Usable || !eligible(e, v.Now, m) || j.ZoneRoom(m.Zone) < 1 {
+				continue
+			}
+			list := slices.DeleteFunc(victims(m), func(x Victim) bool {
+				return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
+			})
+			slices.SortStableFunc(list, func(a, b Victim) int { return cmp.Compare(loss(&a), loss(&b)) })
+			o := option{Eviction: Eviction{Machine: m, Entry: e}, fetch: 2}
+			if m.Images.Has(j.Spec.Image) {
+				o.fetch = 0
+			} else if m.Images.Underway(j.Spec.Image) {
+				o.fetch = 1
+			}
+			free := m.Free
+			for k := range list {
+				if free.Fits(j.Need) {
+					break
+				}
+				free = free.Add(list[k].Held.Job.Need, list[k].Held.Count)
+				o.Victims = append(o.Victims, list[k])
+				o.loss += loss(&list[k])
+			}
+			if !free.Fits(j.Need) {
+				continue
+			}
+			if best == nil || cmp.Or(cmp.Compare(o.fetch, best.fetch), cmp.Compare(o.loss, best.loss), cmp.Compare(m.ID, best.Machine.ID)) < 0 {
+				best = &o
+			}
+		}
+		if best != nil {
+			return &best.Eviction
+		}
+	}
+	return nil
+}
+
+// loss is the work that stopping a victim costs.
+func loss(v *Victim) time.Duration {
+	if v.Saves {
+		return v.Held.Job.Spec.Save.Duration() * time.Duration(v.Held.Count)
+	}
+	return v.Ran * time.Duration(v.Held.Count)
+}
