--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -126,11 +126,12 @@
 			j.Claims(func(c ledger.Claim) bool { zone = c.Zone; return false })
 		}
 		e := &in.Queue[i]
-		// A machine rented now is up a boot time from now. For work that need
-		// not start before that, what is free by then does as well.
+		// A machine rented now is up a boot time from now. For work with time
+		// for one more boot after that, what is free by then does as well. With
+		// less, forecasts that keep being wrong would let it wait for ever.
 		by := in.Now
-		if up := by.Add(in.boot(j)); e.StartBy.After(up) {
-			by = up
+		if boot := in.boot(j); e.StartBy.After(by.Add(2 * boot)) {
+			by = by.Add(boot)
 		}
 		until := by.Add(e.Expected)
 		fits := func(s *slot) int {
