--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -241,10 +241,10 @@
 		WithholdAfter: wire.Seconds(or(p.WithholdAfterS, 60)).Duration(),
 		Preempt:       or(p.Preempt, true),
 		LostAfter:     wire.Seconds(or(f.LostAfterS, 5*report)).Duration(),
-		IdleBoots:     or(f.IdleBoots, 1),
+		IdleBoots:     or(f.IdleBoots, 0.5),
 		MostMachines:  int(or(f.MostMachines, 0)),
 		Spot:          or(f.Spot, true),
-		Headroom:      or(f.Headroom, 0.15),
+		Headroom:      or(f.Headroom, 0),
 		RetryAfter:    wire.Seconds(or(u.RetryAfterS, 1)).Duration(),
 	}
 	var errs []error
