--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -440,6 +440,10 @@
 	}
 	c.mu.Lock()
 	c.reorder(now)
+	known := map[wire.MachineID]*place.Machine{}
+	for _, m := range c.machines(now) {
+		known[m.ID] = m
+	}
 	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: c.queue, TeamRoom: c.led.TeamRoom,
 		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
 		Headroom: c.set.Operators.Headroom,
@@ -452,6 +456,9 @@
 		booting := u.heard.IsZero()
 		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
 			Usable: (booting || u.usable || now.Sub(l.began) < settle) && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter || booting}
+		if m := known[id]; m != nil {
+			n.Caches, n.Fetching = m.Images.Has, m.Images.AnyUnderway()
+		}
 		n.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
 		for _, h := range c.led.HeldBy(id) {
 			n.Busy = append(n.Busy, fleet.Busy{Until: l.until(h, now), Room: ledger.Resources{}.Add(h.Job.Need, h.Count)})
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -21,8 +21,10 @@
 	Booting   bool
 	Usable    bool // takes tasks, or will when it is up
 	Total     ledger.Resources
-	Busy      []Busy    // what its tasks take, and until when
-	IdleSince time.Time // zero while it has claims
+	Busy      []Busy                // what its tasks take, and until when
+	Caches    func(wire.Image) bool // nil: nothing is known to be cached
+	Fetching  wire.Image            // under way there, "" if none
+	IdleSince time.Time             // zero while it has claims
 }
 
 // Busy is room that is taken until some time.
@@ -42,6 +44,8 @@
 	return free
 }
 
+func (u *Unit) caches(name wire.Image) bool { return u.Caches != nil && u.Caches(name) }
+
 // take puts n tasks on the machine until some time.
 func (u *Unit) take(need ledger.Resources, n int, until time.Time) {
 	u.Busy = append(u.Busy, Busy{until, ledger.Resources{}.Add(need, n)})
@@ -129,9 +133,9 @@
 		// A machine rented now is up a boot time from now. For work with time
 		// for one more boot after that, what is free by then does as well. With
 		// less, forecasts that keep being wrong would let it wait for ever.
-		by := in.Now
+		by, pressing := in.Now, true
 		if boot := in.boot(j); e.StartBy.After(by.Add(2 * boot)) {
-			by = by.Add(boot)
+			by, pressing = by.Add(boot), false
 		}
 		until := by.Add(e.Expected)
 		fits := func(s *slot) int {
@@ -139,16 +143,27 @@
 			if !ledger.Allowed(j.Spec, u.Type, u.Zone, u.Spot) || zone != "" && u.Zone != zone {
 				return 0
 			}
+			// One fetch at a time: a machine that has to fetch another image
+			// first is of no use to work that can't wait.
+			if pressing && !u.caches(j.Spec.Image) && u.Fetching != "" && u.Fetching != j.Spec.Image {
+				return 0
+			}
 			return u.room(by).Times(j.Need, left)
 		}
+		use := func(s *slot, n int) {
+			s.unit.take(j.Need, n, until)
+			s.used = true
+			if !s.unit.caches(j.Spec.Image) {
+				s.unit.Fetching = j.Spec.Image
+			}
+			left -= n
+		}
 		for _, s := range slots {
 			if left == 0 {
 				break
 			}
 			if n := fits(s); n > 0 {
-				s.unit.take(j.Need, n, until)
-				s.used = true
-				left -= n
+				use(s, n)
 				if j.Spec.OneZone {
 					zone = s.unit.Zone
 				}
@@ -166,8 +181,7 @@
 			if n == 0 {
 				break
 			}
-			s.unit.take(j.Need, n, until)
-			left -= n
+			use(s, n)
 			slots = append(slots, s)
 			hired[o]++
 			total++
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -85,6 +85,17 @@
 // Underway reports whether the image is being fetched, as far as known.
 func (c *Images) Underway(name wire.Image) bool { _, ok := c.fetching[name]; return ok }
 
+// AnyUnderway returns one of the images being fetched, "" if there is none.
+func (c *Images) AnyUnderway() wire.Image {
+	var first wire.Image
+	for name := range c.fetching {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
+}
+
 // Fetches counts the fetches under way after dropping marks older than age.
 func (c *Images) Fetches(now time.Time, age time.Duration) int {
 	for name, since := range c.fetching {
