Controllers tell each other of fetches under way; hires are spaced by the cloud's budget only

Cause: the plan did not know what peers' machines fetch, and waited 2 s between hires of one machine each.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -425,7 +425,8 @@
 			m.Recall = max(1, w.Recall.Sub(now).Milliseconds())
 		}
 		if im := c.images[w.ID]; im != nil {
-			m.Images = im.images.Names()
+			im.images.Fetches(now, c.set.Operators.FetchMark)
+			m.Images, m.Fetching = im.images.Names(), im.images.Under()
 		}
 		s.Machines = append(s.Machines, m)
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -127,9 +127,9 @@
 	flavors map[wire.MachineSKU]wire.Flavor
 	settled time.Time // since when silence of machines counts
 
-	flavorsAt, listAt, hireAt time.Time
-	listed                    bool
-	publishedFlavors          map[wire.MachineSKU]string
+	flavorsAt, listAt time.Time
+	listed            bool
+	publishedFlavors  map[wire.MachineSKU]string
 }
 
 func (l *leader) step(ctx context.Context) error {
@@ -435,7 +435,7 @@
 func (l *leader) plan(ctx context.Context, now time.Time) error {
 	c := l.c
 	settle := 2 * c.set.Cluster.Cloud.ListLag.Duration()
-	if !l.listed || now.Sub(l.hireAt) < 2*time.Second {
+	if !l.listed {
 		return nil
 	}
 	c.mu.Lock()
@@ -457,7 +457,10 @@
 		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
 			Usable: (booting || u.usable || now.Sub(l.began) < settle) && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter || booting}
 		if m := known[id]; m != nil {
-			n.Caches, n.Fetching = m.Images.Has, m.Images.AnyUnderway()
+			n.Caches = m.Images.Has
+			if under := m.Images.Under(); len(under) > 0 {
+				n.Fetching = under[0]
+			}
 		}
 		n.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
 		for _, h := range c.led.HeldBy(id) {
@@ -512,7 +515,6 @@
 	// The token is unique for ever, and so are names made from it.
 	name := wire.HireName(fmt.Sprintf("r-%d-%d", l.token, l.hires))
 	now := time.Now()
-	l.hireAt = now
 	count := min(need.Count, cloud.MaxHire)
 	got, err := l.cloud.Hire(ctx, wire.Hire{Request: name, Type: need.Type, Zone: need.Zone, Spot: need.Spot, Count: count})
 	l.c.log.Info("hire", "request", name, "type", need.Type, "zone", need.Zone, "spot", need.Spot, "count", count, "got", len(got), "err", err)
@@ -561,7 +563,7 @@
 		b, err := json.Marshal(s)
 		if err == nil && len(b) > c.set.ValueBytes() {
 			for i := range s.Machines {
-				s.Machines[i].Images = nil
+				s.Machines[i].Images, s.Machines[i].Fetching = nil, nil
 			}
 			b, err = json.Marshal(s)
 		}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -388,6 +388,9 @@
 			for _, name := range o.Images {
 				m.Images.Used(name, 0)
 			}
+			for _, name := range o.Fetching {
+				m.Images.Fetching(name, at)
+			}
 			c.setRoom(m)
 			byID[o.ID], heard[o.ID] = m, at
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -25,17 +25,18 @@
 
 // Machine is a machine that a controller holds.
 type Machine struct {
-	ID      wire.MachineID  `cbor:"1,keyasint" json:"i"`
-	Type    wire.MachineSKU `cbor:"2,keyasint" json:"t"`
-	Zone    wire.Zone       `cbor:"3,keyasint" json:"z"`
-	Spot    bool            `cbor:"4,keyasint,omitempty" json:"l,omitempty"`
-	Session wire.Session    `cbor:"5,keyasint" json:"s"`
-	Token   wire.Token      `cbor:"6,keyasint" json:"k"`
-	AgeMS   int64           `cbor:"7,keyasint" json:"a"` // since its last report
-	Usable  bool            `cbor:"8,keyasint,omitempty" json:"u,omitempty"`
-	Recall  int64           `cbor:"9,keyasint,omitempty" json:"r,omitempty"` // ms until taken
-	Faulty  bool            `cbor:"10,keyasint,omitempty" json:"f,omitempty"`
-	Images  []wire.Image    `cbor:"11,keyasint,omitempty" json:"c,omitempty"`
+	ID       wire.MachineID  `cbor:"1,keyasint" json:"i"`
+	Type     wire.MachineSKU `cbor:"2,keyasint" json:"t"`
+	Zone     wire.Zone       `cbor:"3,keyasint" json:"z"`
+	Spot     bool            `cbor:"4,keyasint,omitempty" json:"l,omitempty"`
+	Session  wire.Session    `cbor:"5,keyasint" json:"s"`
+	Token    wire.Token      `cbor:"6,keyasint" json:"k"`
+	AgeMS    int64           `cbor:"7,keyasint" json:"a"` // since its last report
+	Usable   bool            `cbor:"8,keyasint,omitempty" json:"u,omitempty"`
+	Recall   int64           `cbor:"9,keyasint,omitempty" json:"r,omitempty"` // ms until taken
+	Faulty   bool            `cbor:"10,keyasint,omitempty" json:"f,omitempty"`
+	Images   []wire.Image    `cbor:"11,keyasint,omitempty" json:"c,omitempty"`
+	Fetching []wire.Image    `cbor:"12,keyasint,omitempty" json:"g,omitempty"`
 }
 
 // Status is a controller's picture.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -85,16 +86,8 @@
 // Underway reports whether the image is being fetched, as far as known.
 func (c *Images) Underway(name wire.Image) bool { _, ok := c.fetching[name]; return ok }
 
-// AnyUnderway returns one of the images being fetched, "" if there is none.
-func (c *Images) AnyUnderway() wire.Image {
-	var first wire.Image
-	for name := range c.fetching {
-		if first == "" || name < first {
-			first = name
-		}
-	}
-	return first
-}
+// Under lists the images being fetched.
+func (c *Images) Under() []wire.Image { return slices.Sorted(maps.Keys(c.fetching)) }
 
 // Fetches counts the fetches under way after dropping marks older than age.
 func (c *Images) Fetches(now time.Time, age time.Duration) int {
