--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -238,7 +238,7 @@
 	o := Operators{
 		ColdStarts:    int(or(p.ColdStarts, 16)),
 		FetchMark:     wire.Seconds(or(p.FetchMarkS, 60)).Duration(),
-		WithholdAfter: wire.Seconds(or(p.WithholdAfterS, 60)).Duration(),
+		WithholdAfter: wire.Seconds(or(p.WithholdAfterS, 5)).Duration(),
 		Preempt:       or(p.Preempt, true),
 		LostAfter:     wire.Seconds(or(f.LostAfterS, 5*report)).Duration(),
 		IdleBoots:     or(f.IdleBoots, 0.5),
