--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -362,6 +362,7 @@
 			out[m.ID] = j.ID
 			need -= m.Total.Times(j.Need, need)
 		}
+		return out // only the head of the order is worth idle machines
 	}
 	return out
 }
