--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -130,7 +130,8 @@
 }
 
 // Order sorts entries by the job policy: priority, work within a guarantee
-// before work beyond one, then arrival.
+// before work beyond one, then the time by which it must start to meet an aim
+// that it can still meet, then arrival.
 func Order(entries []Entry) {
 	slices.SortFunc(entries, func(a, b Entry) int {
 		beyond := func(e Entry) int {
@@ -142,11 +143,20 @@
 		return cmp.Or(
 			cmp.Compare(a.Job.Spec.Priority.Rank(), b.Job.Spec.Priority.Rank()),
 			cmp.Compare(beyond(a), beyond(b)),
+			a.startBy().Compare(b.startBy()),
 			cmp.Compare(a.Job.Accepted, b.Job.Accepted),
 			cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 }
 
+// startBy puts jobs that can meet no aim any more behind those that can.
+func (e *Entry) startBy() time.Time {
+	if e.StartBy.IsZero() {
+		return time.Unix(1<<40, 0)
+	}
+	return e.StartBy
+}
+
 // How a start gets its image.
 type How string
 
