--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -110,7 +110,6 @@
 	holder   wire.MemberID
 	recall   bool
 	faulty   bool
-	usable   bool
 	idle     time.Time
 }
 
@@ -221,11 +220,11 @@
 		}
 		if at.After(u.heard) {
 			u.Type, u.Zone, u.Spot = m.Type, m.Zone, m.Spot
-			u.heard, u.holder, u.recall, u.faulty, u.usable = at, by, m.Recall != 0, m.Faulty, m.Usable
+			u.heard, u.holder, u.recall, u.faulty = at, by, m.Recall != 0, m.Faulty
 		}
 	}
 	for _, w := range c.workers {
-		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Faulty: c.faulty(w, now), Usable: c.usable(w, now)}
+		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Faulty: c.faulty(w, now)}
 		if !w.Recall.IsZero() {
 			m.Recall = 1
 		}
@@ -455,7 +454,9 @@
 		f := l.flavors[u.Type]
 		booting := u.heard.IsZero()
 		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
-			Usable: (booting || u.usable || now.Sub(l.began) < settle) && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter || booting}
+			// One that is up but has yet to accept our token will take tasks in a
+			// moment; not to count it would rent another in its place.
+			Usable: booting || !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
 		if m := known[id]; m != nil {
 			n.Caches = m.Images.Has
 			if under := m.Images.Under(); len(under) > 0 {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -30,7 +30,8 @@
 	Blind    map[string]bool // condition keys with these prefixes are not checked: a broken guard
 	TxnOps   int
 	Value    int
-	Problems []string // requests beyond the limits
+	Problems []string          // requests beyond the limits
+	Seen     func(wire.Change) // called with every put, if set
 }
 
 // NewStore returns an empty store.
@@ -77,6 +78,9 @@
 				s.remove(c.Delete)
 				continue
 			}
+			if s.Seen != nil {
+				s.Seen(c)
+			}
 			v := slices.Clone(c.Value)
 			s.items[c.Put] = wire.Item{Key: c.Put, Value: v, Version: s.rev, Lease: c.Lease}
 			s.log = append(s.log, wire.Event{Put: c.Put, Value: v, Version: s.rev})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -167,6 +167,13 @@
 	m.kill()
 }
 
+// Gone reports whether the machine has been destroyed.
+func (m *Machine) Gone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gone
+}
+
 // Hang stops the machine from doing anything, or ends that.
 func (m *Machine) Hang(hung bool) {
 	m.mu.Lock()
