Make room on a machine that caches the image rather than fetch it elsewhere

Every controller chooses the same machine from the ledger and the one that holds it acts, instead of taking turns.

--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"maddermill/internal/ledger"
@@ -88,3 +89,38 @@
 	}
 	return best
 }
+
+// claimedSince is when a claim was first seen here.
+func (c *Core) claimedSince(h ledger.Held, now time.Time) time.Time {
+	key := claimKey{h.Machine, h.Job.ID, h.Attempt, h.First}
+	since, ok := c.claimed[key]
+	if !ok {
+		since = now
+		c.claimed[key] = now
+	}
+	return since
+}
+
+// until is when a claim's tasks are expected to be over. One that has outlived
+// its expectation may take half as long again as it is over already.
+func (c *Core) until(h ledger.Held, now time.Time) time.Time {
+	if h.Job.Spec.Shape == wire.Service {
+		return now.Add(24 * time.Hour)
+	}
+	end := c.claimedSince(h, now).Add(c.expected(h.Job))
+	if over := now.Sub(end); over > 0 {
+		end = now.Add(over/2 + 5*time.Second)
+	}
+	return end
+}
+
+// forgetClaims drops what is noted of claims that are over.
+func (c *Core) forgetClaims() {
+	for key := range c.claimed {
+		if !slices.ContainsFunc(c.led.HeldBy(key.machine), func(h ledger.Held) bool {
+			return h.Job.ID == key.job && h.Attempt == key.attempt && h.First == key.first
+		}) {
+			delete(c.claimed, key)
+		}
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -249,13 +249,6 @@
 			u.idle = now
 		}
 	}
-	for key := range c.claimed {
-		if !slices.ContainsFunc(c.led.HeldBy(key.machine), func(h ledger.Held) bool {
-			return h.Job.ID == key.job && h.Attempt == key.attempt && h.First == key.first
-		}) {
-			delete(c.claimed, key)
-		}
-	}
 	for id, w := range c.workers {
 		if now.Sub(w.Heard) > 10*time.Minute || c.led.Mark(id) == ledger.Gone && now.Sub(w.Heard) > time.Minute {
 			delete(c.workers, id)
@@ -465,7 +458,7 @@
 		}
 		n.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
 		for _, h := range c.led.HeldBy(id) {
-			n.Busy = append(n.Busy, fleet.Busy{Until: l.until(h, now), Room: ledger.Resources{}.Add(h.Job.Need, h.Count)})
+			n.Busy = append(n.Busy, fleet.Busy{Until: c.until(h, now), Room: ledger.Resources{}.Add(h.Job.Need, h.Count)})
 		}
 		if f.Name != "" {
 			in.Units = append(in.Units, n)
@@ -491,26 +484,6 @@
 	return nil
 }
 
-// until is when a claim's tasks are expected to be over. One that has outlived
-// its expectation may take as long again as it is over already.
-func (l *leader) until(h ledger.Held, now time.Time) time.Time {
-	c := l.c
-	key := claimKey{h.Machine, h.Job.ID, h.Attempt, h.First}
-	since, ok := c.claimed[key]
-	if !ok {
-		since = now
-		c.claimed[key] = now
-	}
-	if h.Job.Spec.Shape == wire.Service {
-		return now.Add(24 * time.Hour)
-	}
-	end := since.Add(c.expected(h.Job))
-	if over := now.Sub(end); over > 0 {
-		end = now.Add(over/2 + 5*time.Second)
-	}
-	return end
-}
-
 func (l *leader) hire(ctx context.Context, need fleet.Need) error {
 	l.hires++
 	// The token is unique for ever, and so are names made from it.
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -36,36 +35,12 @@
 }
 
 func (c *Core) makeRoom(now time.Time) {
-	v := c.view(now)
-	var mine []*place.Machine
-	for _, m := range v.Machines {
-		if m.Mine {
-			mine = append(mine, m)
-		}
-	}
-	beyond := map[wire.Team]bool{}
-	for _, t := range c.set.Cluster.Teams {
-		used := c.led.Used(t.Name)
-		limit := ledger.NewResources(t.CPUs, t.GPUs, 0)
-		beyond[t.Name] = t.CPUs == 0 && t.GPUs == 0 || t.CPUs > 0 && used.CPU > limit.CPU || t.GPUs > 0 && used.GPU > limit.GPU
-	}
-	x := place.Evict(v, mine, func(m *place.Machine) []place.Victim {
-		w := c.workers[m.ID]
-		var out []place.Victim
-		for _, h := range c.led.HeldBy(m.ID) {
-			s := h.Job.Spec
-			if w.Stopping(h) || s.Shape == wire.Gang && s.Tasks > 1 || !c.canWait(h.Job, now) {
-				continue
-			}
-			out = append(out, place.Victim{Held: h, Beyond: beyond[s.Team], Saves: s.Checkpoint > 0, Ran: w.RunningFor(h, now)})
-		}
-		return out
-	}, func(j *ledger.Job) bool { return c.myTurn(j.ID, now) })
-	if x == nil {
+	x := place.Evict(c.view(now))
+	if x == nil || !x.Machine.Mine {
 		return
 	}
 	w := c.workers[x.Machine.ID]
-	c.making[x.Machine.ID] = room{x.Entry.Job.ID, now.Add(makeRoomFor)}
+	c.making[w.ID] = room{x.Entry.Job.ID, now.Add(makeRoomFor)}
 	for _, victim := range x.Victims {
 		h := victim.Held
 		w.Stop(h)
@@ -74,6 +49,29 @@
 	}
 }
 
+// victims lists what may be stopped on a machine, from the ledger alone, so that
+// every controller sees the same.
+func (c *Core) victims(m *place.Machine, now time.Time) []place.Victim {
+	var out []place.Victim
+	for _, h := range c.led.HeldBy(m.ID) {
+		s := h.Job.Spec
+		if s.Shape == wire.Gang && s.Tasks > 1 || h.Job.State != ledger.Active || !c.canWait(h.Job, now) {
+			continue
+		}
+		t := c.set.Team(s.Team)
+		used := c.led.Used(s.Team)
+		out = append(out, place.Victim{Held: h, Saves: s.Checkpoint > 0, Ran: now.Sub(c.claimedSince(h, now)),
+			Beyond: t == nil || beyond(t, used)})
+	}
+	return out
+}
+
+// beyond reports whether a team that uses so much is beyond its guarantee.
+func beyond(t *settings.Team, used ledger.Resources) bool {
+	limit := ledger.NewResources(t.CPUs, t.GPUs, 0)
+	return t.CPUs == 0 && t.GPUs == 0 || t.CPUs > 0 && used.CPU > limit.CPU || t.GPUs > 0 && used.GPU > limit.GPU
+}
+
 // canWait reports whether a job that is stopped now can still meet an aim once a
 // machine rented for it is up. Stopping work that has its own promise to keep
 // only moves the damage.
@@ -110,22 +108,6 @@
 	return ""
 }
 
-// myTurn reports whether it is this controller's turn to make room for a job.
-// The turn moves on, so that one without suitable machines holds nothing up.
-func (c *Core) myTurn(id wire.JobID, now time.Time) bool {
-	members := []wire.MemberID{c.set.Member}
-	for m, p := range c.peers {
-		if now.Sub(p.asked) < 4*time.Second && p.status.Loaded {
-			members = append(members, m)
-		}
-	}
-	slices.Sort(members)
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	turn := (int64(h.Sum32()) + now.Unix()/3) % int64(len(members))
-	return members[turn] == c.set.Member
-}
-
 // keptFor adds the machines being emptied to those withheld.
 func (c *Core) keptFor(now time.Time) map[wire.MachineID]wire.JobID {
 	out := map[wire.MachineID]wire.JobID{}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -356,6 +356,9 @@
 	v := &place.View{Now: now, Queue: c.queue, TeamRoom: c.led.TeamRoom, Withheld: c.keptFor(now),
 		Limits: place.Limits{ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
 			WithholdAfter: c.set.Operators.WithholdAfter, DeferCold: 3 * c.set.Cluster.Workers.Report.Duration()}}
+	if c.set.Operators.Preempt {
+		v.Victims = func(m *place.Machine) []place.Victim { return c.victims(m, now) }
+	}
 	v.Machines = c.machines(now)
 	for _, m := range v.Machines {
 		if m.Mine {
@@ -430,6 +433,7 @@
 			delete(c.jobs, id)
 		}
 	}
+	c.forgetClaims()
 	c.markBeyond(entries)
 	for i := range entries {
 		e := &entries[i]
@@ -458,9 +462,7 @@
 			continue
 		}
 		s := sum[t.Name].Add(e.Job.Need, e.Job.Pending())
-		limit := ledger.NewResources(t.CPUs, t.GPUs, 0)
-		e.Beyond = t.CPUs == 0 && t.GPUs == 0 || t.CPUs > 0 && s.CPU > limit.CPU || t.GPUs > 0 && s.GPU > limit.GPU
-		if !e.Beyond {
+		if e.Beyond = beyond(t, s); !e.Beyond {
 			sum[t.Name] = s
 		}
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -183,6 +183,7 @@
 	Machines []*Machine // all known, to see where images are cached
 	Cold     int        // fetches in flight at this controller's machines
 	Withheld map[wire.MachineID]wire.JobID
+	Victims  func(*Machine) []Victim // what may be stopped there; nil: nothing
 }
 
 // OnRoom decides what a machine that reports free room is given.
@@ -217,7 +218,7 @@
 		case m.Images.Has(j.Spec.Image):
 		case m.Images.Underway(j.Spec.Image):
 			how = Underway
-		case fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m):
+		case fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m) && !v.waitsForRoom(e):
 			how = Cold
 			fetches++
 			cold++
@@ -262,6 +263,12 @@
 	return false
 }
 
+// waitsForRoom reports whether a machine that caches the image is about to be
+// emptied for the job, which is quicker than a fetch.
+func (v *View) waitsForRoom(e *Entry) bool {
+	return e.Waiting <= v.Limits.DeferCold/2 && v.evictFor(e) != nil
+}
+
 // Gang places a whole gang over all machines, or returns nil. Machines that
 // cache the image go first, then those that fetch it, then idle ones.
 func Gang(v *View, e *Entry) []ledger.Placed {
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -34,64 +34,78 @@
 	Victims []Victim
 }
 
-// Evict looks for the first job in order that no machine has room for and that
-// stopping lower work on one of mine would truly make room for. The machine
-// that caches its image is best, then the one where the least is lost.
-func Evict(v *View, mine []*Machine, victims func(*Machine) []Victim, turn func(*ledger.Job) bool) *Eviction {
+// Evict looks for the first job in order that no machine can start at once and
+// that stopping lower work would truly make room for. All controllers come to
+// the same machine; the one that holds it acts.
+func Evict(v *View) *Eviction {
 	for i := range v.Queue {
-		e := &v.Queue[i]
-		j := e.Job
-		if parts(j) > 1 || e.pending() == 0 || v.Now.Before(e.Retry) || !turn(j) || v.TeamRoom(j, ledger.Resources{}, 1) < 1 {
-			continue
+		if x := v.evictFor(&v.Queue[i]); x != nil {
+			return x
 		}
-		served := slices.ContainsFunc(v.Machines, func(m *Machine) bool {
-			keep, kept := v.Withheld[m.ID]
-			return m.Usable && eligible(e, v.Now, m) && m.Free.Fits(j.Need) && j.ZoneRoom(m.Zone) > 0 && !kept || kept && keep == j.ID
-		})
-		if served {
+	}
+	return nil
+}
+
+// evictFor chooses the machine to make room on for one job: one that caches its
+// image before others, then the one where the least is lost. While there is room
+// that only lacks the image, only a machine that caches it is worth emptying.
+func (v *View) evictFor(e *Entry) *Eviction {
+	j := e.Job
+	if v.Victims == nil || parts(j) > 1 || e.pending() == 0 || v.Now.Before(e.Retry) || v.TeamRoom(j, ledger.Resources{}, 1) < 1 {
+		return nil
+	}
+	type option struct {
+		Eviction
+		fetch int
+		loss  time.Duration
+	}
+	worst := 2 // how far from its image a machine may be
+	var best *option
+	for _, m := range v.Machines {
+		keep, kept := v.Withheld[m.ID]
+		if kept && keep == j.ID {
+			return nil // one is being emptied already
+		}
+		if kept || !m.Usable || !eligible(e, v.Now, m) || j.ZoneRoom(m.Zone) < 1 {
 			continue
 		}
-		type option struct {
-			Eviction
-			fetch int
-			loss  time.Duration
+		o := option{Eviction: Eviction{Machine: m, Entry: e}, fetch: 2}
+		if m.Images.Has(j.Spec.Image) {
+			o.fetch = 0
+		} else if m.Images.Underway(j.Spec.Image) {
+			o.fetch = 1
 		}
-		var best *option
-		for _, m := range mine {
-			if _, kept := v.Withheld[m.ID]; kept || !m.Usable || !eligible(e, v.Now, m) || j.ZoneRoom(m.Zone) < 1 {
-				continue
-			}
-			list := slices.DeleteFunc(victims(m), func(x Victim) bool {
-				return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
-			})
-			slices.SortStableFunc(list, func(a, b Victim) int { return cmp.Compare(loss(&a), loss(&b)) })
-			o := option{Eviction: Eviction{Machine: m, Entry: e}, fetch: 2}
-			if m.Images.Has(j.Spec.Image) {
-				o.fetch = 0
-			} else if m.Images.Underway(j.Spec.Image) {
-				o.fetch = 1
+		free := m.Free
+		if free.Fits(j.Need) {
+			if o.fetch < 2 {
+				return nil // it starts there with the next report
 			}
-			free := m.Free
-			for k := range list {
-				if free.Fits(j.Need) {
-					break
-				}
-				free = free.Add(list[k].Held.Job.Need, list[k].Held.Count)
-				o.Victims = append(o.Victims, list[k])
-				o.loss += loss(&list[k])
-			}
-			if !free.Fits(j.Need) {
-				continue
-			}
-			if best == nil || cmp.Or(cmp.Compare(o.fetch, best.fetch), cmp.Compare(o.loss, best.loss), cmp.Compare(m.ID, best.Machine.ID)) < 0 {
-				best = &o
+			worst = 0
+			continue
+		}
+		list := slices.DeleteFunc(v.Victims(m), func(x Victim) bool {
+			return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
+		})
+		slices.SortStableFunc(list, func(a, b Victim) int { return cmp.Compare(loss(&a), loss(&b)) })
+		for k := range list {
+			if free.Fits(j.Need) {
+				break
 			}
+			free = free.Add(list[k].Held.Job.Need, list[k].Held.Count)
+			o.Victims = append(o.Victims, list[k])
+			o.loss += loss(&list[k])
 		}
-		if best != nil {
-			return &best.Eviction
+		if !free.Fits(j.Need) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(o.fetch, best.fetch), cmp.Compare(o.loss, best.loss), cmp.Compare(m.ID, best.Machine.ID)) < 0 {
+			best = &o
 		}
 	}
-	return nil
+	if best == nil || best.fetch > worst {
+		return nil
+	}
+	return &best.Eviction
 }
 
 // loss is the work that stopping a victim costs.
