--- /dev/null
+++ b/internal/controller/contact_test.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/mesh"
+	"maddermill/wire"
+)
+
+func answerOf(member wire.MemberID, asked time.Time, cancelled wire.Revision, loaded bool, contact time.Duration) mesh.Answer {
+	return mesh.Answer{Asked: asked, Status: mesh.Status{Version: mesh.Version, Member: member, Loaded: loaded,
+		Cancelled: cancelled, ContactMS: contact.Milliseconds()}}
+}
+
+// TestReliedOn: in an outage, peers can vouch that no cancellation was told that
+// this ledger lacks, but only all of them, and only with a ledger of their own.
+func TestReliedOn(t *testing.T) {
+	now := time.Now()
+	old, fresh, fresher := now.Add(-time.Minute), now.Add(-2*time.Second), now.Add(-time.Second)
+	for _, tc := range []struct {
+		name  string
+		peers []mesh.Answer
+		want  time.Time
+	}{
+		{"nobody answers", nil, old},
+		{"one of two answers", []mesh.Answer{answerOf("m-1", fresh, 5, true, 0)}, old},
+		{"both vouch: the older answer counts", []mesh.Answer{answerOf("m-1", fresh, 5, true, 0), answerOf("m-2", fresher, 7, true, 0)}, fresh},
+		{"one told of a cancellation that this ledger lacks", []mesh.Answer{answerOf("m-1", fresh, 8, true, 0), answerOf("m-2", fresh, 7, true, 0)}, old},
+		{"one has restarted and knows nothing", []mesh.Answer{answerOf("m-1", fresh, 0, false, 0), answerOf("m-2", fresh, 7, true, 0)}, old},
+	} {
+		c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c.contact = old
+		c.led.CaughtUp(7)
+		for _, a := range tc.peers {
+			c.heardPeer(a)
+		}
+		if got := c.reliedOn(); !got.Equal(tc.want) {
+			t.Errorf("%s: relied on %v ago, want %v", tc.name, now.Sub(got), now.Sub(tc.want))
+		}
+	}
+}
+
+// TestHealthy: a controller that alone is refused sends users elsewhere; one that
+// shares an outage with all others stays, since leaving would gain nobody anything.
+func TestHealthy(t *testing.T) {
+	now := time.Now()
+	c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if c.Healthy() {
+		t.Error("healthy before the ledger was read")
+	}
+	c.loaded, c.token, c.contact = true, 1, now
+	if !c.Healthy() {
+		t.Error("not healthy in touch with the state service")
+	}
+	c.contact = now.Add(-10 * time.Second)
+	c.heardPeer(answerOf("m-1", now, 0, true, 10*time.Second))
+	if !c.Healthy() {
+		t.Error("not healthy in an outage that all share")
+	}
+	c.heardPeer(answerOf("m-2", now, 0, true, 100*time.Millisecond))
+	if c.Healthy() {
+		t.Error("healthy while only this controller is refused")
+	}
+}
+
+// TestCancellationsAreVouchedFor: the revision a controller vouches with is never
+// below that of a cancellation that its ledger holds.
+func TestCancellationsAreVouchedFor(t *testing.T) {
+	c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	value := `{"spec":{"id":"wk-000001","pieces":1},"at":1,"state":"cancelled"}`
+	c.led.Apply(ledger.Event{Key: "mm1/j/wk-000001", Value: []byte(value), Version: 9})
+	if got := c.status().Cancelled; got < 9 {
+		t.Errorf("vouches with %d after a cancellation at 9", got)
+	}
+}
