--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -77,3 +77,30 @@
 		t.Errorf("vouches with %d after a cancellation at 9", got)
 	}
 }
+
+// TestRedirect: a controller that alone is cut off from the state service sends a
+// worker to a peer in touch, but not again and again: a worker that can't reach
+// the peer must still be answered before its lease ends.
+func TestRedirect(t *testing.T) {
+	now := time.Now()
+	c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.loaded, c.token, c.contact = true, 1, now.Add(-8*time.Second)
+	r := &wire.Report{Machine: "host-1", Session: 1, Tally: 1}
+	if a := c.Report(t.Context(), r); a.Status != 200 {
+		t.Errorf("%d with no peer in touch", a.Status)
+	}
+	c.heardPeer(answerOf("m-1", time.Now(), 0, true, 100*time.Millisecond))
+	r.Tally = 2
+	if a := c.Report(t.Context(), r); a.Status != 421 || a.Redirect.ReportTo != "m-1" {
+		t.Errorf("%d %q with a peer in touch", a.Status, a.Redirect.ReportTo)
+	}
+	r.Tally = 3
+	if a := c.Report(t.Context(), r); a.Status != 200 {
+		t.Errorf("%d for a worker that came back", a.Status)
+	}
+	c.contact = now.Add(-time.Hour)
+	r.Tally = 4
+	if a := c.Report(t.Context(), r); a.Status != 421 {
+		t.Errorf("%d long after a cancellation may have been missed", a.Status)
+	}
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -52,7 +52,6 @@
 	queueAt  time.Time
 	withheld map[wire.MachineID]wire.JobID
 	making   map[wire.MachineID]room
-	prices   map[wire.MachineSKU]wire.Flavor // current ones, at the leader
 
 	barriers   chan *barrier
 	pendingMu  sync.Mutex
@@ -70,7 +69,6 @@
 type peer struct {
 	status mesh.Status
 	asked  time.Time
-	local  time.Time // when it was taken in
 }
 
 type claimKey struct {
@@ -98,6 +96,17 @@
 		barriers: make(chan *barrier, 1), wantToken: make(chan wire.Token, 1),
 		submitted: make(chan *change, 4096), userCommit: make(chan struct{}, 32)}
 	c.led = ledger.New(c.limits())
+	gauge := func(name string, read func() float64) {
+		c.Stats.Gauge(name, func() float64 {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return read()
+		})
+	}
+	gauge("jobs_active", func() float64 { _, n := c.led.Counts(); return float64(n) })
+	gauge("machines_held", func() float64 { return float64(len(c.workers)) })
+	gauge("ledger_revision", func() float64 { return float64(c.led.Revision()) })
+	gauge("contact_age_seconds", func() float64 { return time.Since(c.contact).Seconds() })
 	return c
 }
 
@@ -441,7 +450,7 @@
 		p = new(peer)
 		c.peers[a.Status.Member] = p
 	}
-	p.status, p.asked, p.local = a.Status, a.Asked, time.Now()
+	p.status, p.asked = a.Status, a.Asked
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -103,14 +103,12 @@
 
 type unit struct {
 	wire.ListedMachine
-	listed   bool
-	hired    time.Time // or first seen
-	lastSeen time.Time // in the list
-	heard    time.Time // by any controller
-	holder   wire.MemberID
-	recall   bool
-	faulty   bool
-	idle     time.Time
+	hired  time.Time // or first seen
+	heard  time.Time // by any controller
+	holder wire.MemberID
+	recall bool
+	faulty bool
+	idle   time.Time
 }
 
 // leader is the state of one term. A new one starts from the cloud's list.
@@ -199,7 +197,7 @@
 			u = &unit{hired: now.Add(-m.Age.Duration())}
 			l.units[m.ID] = u
 		}
-		u.ListedMachine, u.listed, u.lastSeen = m, true, now
+		u.ListedMachine = m
 	}
 	return nil
 }
@@ -576,7 +574,7 @@
 			// Only the picture of machines: a stored value proves nothing about
 			// cancellations told since.
 			s.Loaded = false
-			c.peers[p.Member] = &peer{status: s, asked: now.Add(-time.Second), local: now}
+			c.peers[p.Member] = &peer{status: s, asked: now.Add(-time.Second)}
 		}
 		c.mu.Unlock()
 	}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"maddermill/internal/ledger"
@@ -41,7 +43,7 @@
 	if began.Sub(c.reliedOn()) > c.set.ReportGrace() {
 		// A cancellation may have been told meanwhile, and every answer renews
 		// the lease of tasks that must then be gone.
-		return goElsewhere
+		return c.redirect(r.Machine, began)
 	}
 	if c.led.Mark(r.Machine) == ledger.Gone {
 		return goElsewhere // a report from before the machine's end
@@ -52,6 +54,15 @@
 		c.workers[r.Machine] = w
 		c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
 	}
+	if began.Sub(c.contact) > startContact && began.Sub(w.Sent) > redirectEvery {
+		// Cut off from the state service, nothing can start or end here. A peer
+		// in touch does better, if the worker reaches it; if not, it comes back
+		// and is answered for as long as that is safe.
+		if a := c.redirect(r.Machine, began); a.Status == 421 {
+			w.Sent = began
+			return a
+		}
+	}
 	hold, ok := c.holdToken(ctx, w, r)
 	if !ok || w.Stale(r) {
 		return goElsewhere
@@ -103,6 +114,27 @@
 	return ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: w.Hold, Commands: cmds}}
 }
 
+// redirectEvery is how often a worker is sent to another controller at most: one
+// that can't reach the other must not lose its lease over it.
+const redirectEvery = 12 * time.Second
+
+// redirect names a peer that is in touch with the state service, if there is one.
+func (c *Core) redirect(m wire.MachineID, now time.Time) ReportAnswer {
+	var fit []wire.MemberID
+	for id, p := range c.peers {
+		if now.Sub(p.asked) < 3*time.Second && p.status.Loaded && p.status.ContactMS < startContact.Milliseconds()/2 {
+			fit = append(fit, id)
+		}
+	}
+	if len(fit) == 0 {
+		return goElsewhere
+	}
+	slices.Sort(fit)
+	h := fnv.New32a()
+	h.Write([]byte(m))
+	return ReportAnswer{Status: 421, Redirect: wire.Redirect{ReportTo: fit[int(h.Sum32()%uint32(len(fit)))]}}
+}
+
 // holdToken chooses the token to command a worker under: the one it is held
 // under already while the worker has seen no higher one, else a newer one of
 // ours. It may wait for that with the lock released.
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -20,6 +20,10 @@
 	ErrTooLarge = errors.New("ledger: record too large")
 )
 
+// conditionsPerChange is how many conditions the state service takes for each
+// change that a transaction may have.
+const conditionsPerChange = 4
+
 // Draft collects changes to one transaction over the ledger as it is.
 type Draft struct {
 	l     *Ledger
@@ -46,12 +50,6 @@
 		usage: map[wire.Team]Resources{}, conds: map[string]wire.Revision{}, puts: map[string]any{}}
 }
 
-// Empty reports whether the draft changes nothing.
-func (d *Draft) Empty() bool { return len(d.puts) == 0 }
-
-// Conditions returns the keys that the draft was read from.
-func (d *Draft) Conditions() map[string]wire.Revision { return d.conds }
-
 func (d *Draft) job(j *Job) *draftJob {
 	w := d.jobs[j.ID]
 	if w == nil {
@@ -145,7 +143,7 @@
 func (d *Draft) checkSize() error {
 	lim := &d.l.limits
 	alone := len(d.jobs)+len(d.marks) <= 1
-	if len(d.puts) > lim.TxnOps || len(d.conds) > 4*lim.TxnOps {
+	if len(d.puts) > lim.TxnOps || len(d.conds) > conditionsPerChange*lim.TxnOps {
 		if alone {
 			return ErrTooLarge
 		}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -47,11 +47,8 @@
 	Renew(ctx context.Context, id wire.LeaseID) error
 }
 
-// Limits of a transaction besides its number of changes.
-const (
-	ConditionsPerChange = 4
-	TxnBytes            = 60 << 10 // under the service's 64 KiB, with room for framing
-)
+// TxnBytes bounds a transaction: under the service's 64 KiB, with room for framing.
+const TxnBytes = 60 << 10
 
 // Client speaks the protocol.
 type Client struct {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -29,6 +29,7 @@
 	Recall  time.Time  // when the cloud takes it, zero if unknown
 	First   time.Time  // when it was first heard
 
+	Sent    time.Time                  // when it was last sent to another controller
 	NoPlace time.Time                  // nothing is placed there until then
 	Errors  map[wire.JobID]time.Time   // jobs whose tasks failed there
 	stop    map[claimID]bool           // tasks told to leave
@@ -158,19 +159,6 @@
 	}
 }
 
-// Stopping reports whether a claim's first task was told to leave.
-func (w *Worker) Stopping(h ledger.Held) bool {
-	return w.stop[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First}, h.Attempt}]
-}
-
-// RunningFor returns how long a claim's first task has been seen running.
-func (w *Worker) RunningFor(h ledger.Held, now time.Time) time.Duration {
-	if t, ok := w.since[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First}, h.Attempt}]; ok {
-		return now.Sub(t)
-	}
-	return 0
-}
-
 // Commands builds the answer to the report taken last, from the ledger as it is
 // now. Starts go only for claims under the token that the answer carries;
 // mayStart is false while the ledger may have missed a cancellation.
