--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -77,6 +77,12 @@
 		c.enqueue(ch)
 		waits = append(waits, ch)
 	}
+	if !w.Recall.IsZero() {
+		for _, ch := range c.gangStops(r.Machine) {
+			c.enqueue(ch)
+			waits = append(waits, ch)
+		}
+	}
 	current := func() bool { return w.Session == r.Session && w.Tally == r.Tally }
 	now := began
 	for tries := 0; tries < 3 && current(); tries++ {
@@ -199,7 +205,7 @@
 		c.Stats.Add("exits_total", 1)
 		switch e.Cause {
 		case wire.CauseDone:
-			delete(w.Errors, j.ID)
+			clear(w.Errors) // a machine that completes work is not the one at fault
 			n.errors = 0
 			if e.Ran > 0 && j.Spec.Estimate > 0 {
 				c.classes.note(j.Spec.Class, e.Ran, j.Spec.Estimate.Duration())
@@ -276,6 +282,25 @@
 	return out
 }
 
+// gangStops asks all holders of the gangs on a machine that is being taken back
+// to stop them. A gang saves only if all its tasks are told nearly at once.
+func (c *Core) gangStops(m wire.MachineID) []*change {
+	var out []*change
+	for _, h := range c.led.HeldBy(m) {
+		if h.Job.Spec.Shape != wire.Gang || h.Job.Spec.Tasks < 2 || h.Job.Stop >= h.Attempt || h.Job.State != ledger.Active {
+			continue
+		}
+		id, attempt := h.Job.ID, h.Attempt
+		out = append(out, &change{drop: true, until: time.Now().Add(reportWait), draft: func(d *ledger.Draft) error {
+			if j := c.led.Job(id); j != nil {
+				return d.StopGang(j, attempt)
+			}
+			return ledger.ErrStale
+		}})
+	}
+	return out
+}
+
 func (c *Core) draftExits(d *ledger.Draft, id wire.JobID, list []workers.Exit) error {
 	j := c.led.Job(id)
 	if j == nil {
