--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -6,6 +6,7 @@
 
 	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
+	"maddermill/internal/place"
 	"maddermill/wire"
 )
 
@@ -114,6 +115,15 @@
 	return end
 }
 
+// busy is what the claims on a machine take, and until when.
+func (c *Core) busy(id wire.MachineID, now time.Time) []place.Busy {
+	var out []place.Busy
+	for _, h := range c.led.HeldBy(id) {
+		out = append(out, place.Busy{Until: c.until(h, now), Room: ledger.Resources{}.Add(h.Job.Need, h.Count)})
+	}
+	return out
+}
+
 // forgetClaims drops what is noted of claims that are over.
 func (c *Core) forgetClaims() {
 	for key := range c.claimed {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -455,9 +455,7 @@
 			}
 		}
 		n.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
-		for _, h := range c.led.HeldBy(id) {
-			n.Busy = append(n.Busy, fleet.Busy{Until: c.until(h, now), Room: ledger.Resources{}.Add(h.Job.Need, h.Count)})
-		}
+		n.Busy = c.busy(id, now)
 		if f.Name != "" {
 			in.Units = append(in.Units, n)
 		}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -390,12 +390,13 @@
 func (c *Core) machineOf(w *workers.Worker, now time.Time) *place.Machine {
 	m := &place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold,
 		Images: c.imagesOf(w), Usable: c.usable(w, now), Mine: true}
-	c.setRoom(m)
+	c.setRoom(m, now)
 	return m
 }
 
-func (c *Core) setRoom(m *place.Machine) {
+func (c *Core) setRoom(m *place.Machine, now time.Time) {
 	f, _ := c.led.Flavor(m.Type)
+	m.FetchGB, m.Busy = f.FetchGBps, c.busy(m.ID, now)
 	m.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
 	m.Free = m.Total
 	for _, h := range c.led.HeldBy(m.ID) {
@@ -451,7 +452,7 @@
 			for _, name := range o.Fetching {
 				m.Images.Fetching(name, at)
 			}
-			c.setRoom(m)
+			c.setRoom(m, now)
 			byID[o.ID], heard[o.ID] = m, at
 		}
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -21,18 +21,12 @@
 	Booting   bool
 	Usable    bool // takes tasks, or will when it is up
 	Total     ledger.Resources
-	Busy      []Busy                // what its tasks take, and until when
+	Busy      []place.Busy          // what its tasks take, and until when
 	Caches    func(wire.Image) bool // nil: nothing is known to be cached
 	Fetching  wire.Image            // under way there, "" if none
 	IdleSince time.Time             // zero while it has claims
 }
 
-// Busy is room that is taken until some time.
-type Busy struct {
-	Until time.Time
-	Room  ledger.Resources
-}
-
 // room returns what is free at a time, as far as can be foreseen.
 func (u *Unit) room(at time.Time) ledger.Resources {
 	free := u.Total
@@ -48,7 +42,7 @@
 
 // take puts n tasks on the machine until some time.
 func (u *Unit) take(need ledger.Resources, n int, until time.Time) {
-	u.Busy = append(u.Busy, Busy{until, ledger.Resources{}.Add(need, n)})
+	u.Busy = append(u.Busy, place.Busy{Until: until, Room: ledger.Resources{}.Add(need, n)})
 }
 
 // Option is a kind of machine to rent.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -139,6 +139,7 @@
 	underWay := m.Images.Fetches(v.Now, v.Limits.FetchMark)
 	free, cold := m.Free, v.Cold
 	taken := map[wire.Team]ledger.Resources{}
+	before := map[wire.Image]int{} // tasks passed over
 	for _, e := range v.Queue {
 		j := e.Job
 		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
@@ -166,7 +167,27 @@
 						ledger.Allowed(j.Spec, o.Type, o.Zone, o.Spot) && j.ZoneRoom(o.Zone) > 0 && (!kept || keep == j.ID) &&
 						(e.Avoid == nil || !e.Avoid(o.ID))
 				}
-				if underWay > 0 || cold >= v.Limits.ColdStarts || elsewhere && e.Waiting <= time.Duration(v.Limits.DeferCold) {
+				soon := 0 // tasks that will have room beside the image in time, when a fetch would be late
+				fetched := v.Now.Add(time.Duration(j.Spec.ImageGB / m.FetchGB * float64(time.Second)))
+				for _, o := range v.Machines {
+					keep, kept := v.Withheld[o.ID]
+					if o.ID == m.ID || !o.Usable || kept && keep != j.ID || !o.Images.Has(image) || !fetched.After(e.StartBy) ||
+						!ledger.Allowed(j.Spec, o.Type, o.Zone, o.Spot) || e.Avoid != nil && e.Avoid(o.ID) {
+						continue
+					}
+					there := o.Free
+					for _, b := range o.Busy {
+						if b.Until.Before(e.StartBy) {
+							there = there.Add(b.Room, 1)
+						}
+					}
+					for n := 0; there.Fits(j.Need) && n < j.ZoneRoom(o.Zone) && n < left; n++ {
+						there = there.Add(j.Need, -1)
+						soon++
+					}
+				}
+				if underWay > 0 || cold >= v.Limits.ColdStarts || soon > before[image] || elsewhere && e.Waiting <= time.Duration(v.Limits.DeferCold) {
+					before[image] += left
 					break
 				}
 				fetching[image] = true
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -35,6 +35,14 @@
 	Images  *Images
 	Usable  bool // may be given tasks
 	Mine    bool // reports to this controller
+	Busy    []Busy
+	FetchGB float64 // a second
+}
+
+// Busy is room that tasks take, and until when as far as can be foreseen.
+type Busy struct {
+	Until time.Time
+	Room  ledger.Resources
 }
 
 // Site is the machine as claims name it.
@@ -195,6 +203,7 @@
 	free, cold := m.Free, v.Cold
 	fetches := m.Images.Fetches(v.Now, v.Limits.FetchMark)
 	teamTaken := map[wire.Team]ledger.Resources{}
+	ahead := map[wire.Image]int{} // tasks passed over here, by image
 	for i := range v.Queue {
 		e := &v.Queue[i]
 		j := e.Job
@@ -218,11 +227,13 @@
 		case m.Images.Has(j.Spec.Image):
 		case m.Images.Underway(j.Spec.Image):
 			how = Underway
-		case fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m) && !v.waitsForRoom(e):
+		case fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m) && !v.waitsForRoom(e) &&
+			v.roomInTime(e, m) <= ahead[j.Spec.Image]:
 			how = Cold
 			fetches++
 			cold++
 		default:
+			ahead[j.Spec.Image] += e.pending()
 			continue
 		}
 		free = free.Add(j.Need, -n)
@@ -269,6 +280,34 @@
 	return e.Waiting <= v.Limits.DeferCold/2 && v.evictFor(e) != nil
 }
 
+// roomInTime is how many of the job's tasks other machines that cache the image
+// will have room for by the time the job must start, if a fetch here would end
+// after that time: a cold start would then miss the aim for certain. It is 0 if
+// a fetch would be in time or there is no aim to miss.
+func (v *View) roomInTime(e *Entry, here *Machine) int {
+	if here.FetchGB <= 0 || e.StartBy.IsZero() {
+		return 0
+	}
+	if fetch := time.Duration(e.Job.Spec.ImageGB / here.FetchGB * float64(time.Second)); !v.Now.Add(fetch).After(e.StartBy) {
+		return 0
+	}
+	room := 0
+	for _, m := range v.Machines {
+		keep, kept := v.Withheld[m.ID]
+		if m.ID == here.ID || !m.Usable || kept && keep != e.Job.ID || !m.Images.Has(e.Job.Spec.Image) || !eligible(e, v.Now, m) {
+			continue
+		}
+		free := m.Free
+		for _, b := range m.Busy {
+			if b.Until.Before(e.StartBy) {
+				free = free.Add(b.Room, 1)
+			}
+		}
+		room += min(free.Times(e.Job.Need, e.pending()), e.Job.ZoneRoom(m.Zone))
+	}
+	return room
+}
+
 // Gang places a whole gang over all machines, or returns nil. Machines that
 // cache the image go first, then those that fetch it, then idle ones.
 func Gang(v *View, e *Entry) []ledger.Placed {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -22,7 +22,7 @@
 		s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: []wire.Team{"free", "capped"}[rng.IntN(2)],
 			Shape: wire.Array, Priority: []wire.Priority{wire.Production, wire.High, wire.Normal, wire.Low}[rng.IntN(4)],
 			Tasks: 1 + rng.IntN(6), CPUs: float64(1 + rng.IntN(4)), GPUs: float64(rng.IntN(3)), MemoryGB: 1,
-			Image: wire.Image(fmt.Sprint("i", rng.IntN(4))), Spot: rng.IntN(2) == 0, OneZone: rng.IntN(4) == 0, Spread: rng.IntN(4) == 0}
+			Image: wire.Image(fmt.Sprint("i", rng.IntN(4))), ImageGB: float64(rng.IntN(40)), Spot: rng.IntN(2) == 0, OneZone: rng.IntN(4) == 0, Spread: rng.IntN(4) == 0}
 		if rng.IntN(4) == 0 {
 			s.Shape, s.Tasks = wire.Gang, 1+rng.IntN(2)
 		}
@@ -34,7 +34,8 @@
 		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: wire.Revision(i + 1)})
 		taken := rng.IntN(2) * rng.IntN(2)
 		out = append(out, place.Entry{Job: l.Job(s.ID), Beyond: rng.IntN(2) == 0, Taken: &taken, Waiting: time.Duration(rng.IntN(20)) * time.Second,
-			Retry: start.Add(time.Duration(rng.IntN(8)-6) * time.Second)})
+			StartBy: start.Add(time.Duration(rng.IntN(30)) * time.Second),
+			Retry:   start.Add(time.Duration(rng.IntN(8)-6) * time.Second)})
 	}
 	place.Order(out)
 	return out
@@ -42,8 +43,11 @@
 
 func machine(rng *rand.Rand, id int) *place.Machine {
 	m := &place.Machine{ID: wire.MachineID(fmt.Sprint("host-", id)), Type: "g", Zone: []wire.Zone{"a", "b"}[rng.IntN(2)], Spot: rng.IntN(2) == 0,
-		Total: ledger.NewResources(8, 4, 16), Images: place.NewImages(100), Usable: rng.IntN(5) > 0}
+		Total: ledger.NewResources(8, 4, 16), Images: place.NewImages(100), Usable: rng.IntN(5) > 0, FetchGB: 1}
 	m.Free = ledger.NewResources(float64(rng.IntN(9)), float64(rng.IntN(5)), 16)
+	if used := (ledger.Resources{CPU: m.Total.CPU - m.Free.CPU, GPU: m.Total.GPU - m.Free.GPU}); rng.IntN(2) == 0 {
+		m.Busy = []place.Busy{{Until: start.Add(time.Duration(rng.IntN(20)) * time.Second), Room: used}}
+	}
 	for i := range 4 {
 		switch rng.IntN(4) {
 		case 0:
