--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -98,7 +98,8 @@
 			inUse++
 		}
 	}
-	// Machines that are up come first, then those that boot.
+	// Machines that are up come first, then those that boot; cheap ones before
+	// dear ones, which are kept for work that may run nowhere else.
 	slices.SortStableFunc(slots, func(a, b *slot) int {
 		boot := func(s *slot) int {
 			if s.unit.Booting {
@@ -106,7 +107,7 @@
 			}
 			return 0
 		}
-		return cmp.Or(cmp.Compare(boot(a), boot(b)), cmp.Compare(a.unit.ID, b.unit.ID))
+		return cmp.Or(cmp.Compare(boot(a), boot(b)), cmp.Compare(in.price(a.unit.option()), in.price(b.unit.option())), cmp.Compare(a.unit.ID, b.unit.ID))
 	})
 	var plan Plan
 	hired := map[Option]int{}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -140,7 +140,23 @@
 	free, cold := m.Free, v.Cold
 	taken := map[wire.Team]ledger.Resources{}
 	before := map[wire.Image]int{} // tasks passed over
-	for _, e := range v.Queue {
+	queue := v.Queue
+	if !m.Spot {
+		// Work that may run nowhere else goes first among its like.
+		queue = nil
+		for rank := range 4 {
+			for _, beyond := range []bool{false, true} {
+				for _, spot := range []bool{false, true} {
+					for _, e := range v.Queue {
+						if s := e.Job.Spec; s.Priority.Rank() == rank && e.Beyond == beyond && s.Spot == spot {
+							queue = append(queue, e)
+						}
+					}
+				}
+			}
+		}
+	}
+	for _, e := range queue {
 		j := e.Job
 		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
 			continue
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -142,21 +142,25 @@
 // that it can still meet, then arrival.
 func Order(entries []Entry) {
 	slices.SortFunc(entries, func(a, b Entry) int {
-		beyond := func(e Entry) int {
-			if e.Beyond {
-				return 1
-			}
-			return 0
-		}
 		return cmp.Or(
-			cmp.Compare(a.Job.Spec.Priority.Rank(), b.Job.Spec.Priority.Rank()),
-			cmp.Compare(beyond(a), beyond(b)),
+			a.class(&b),
 			a.startBy().Compare(b.startBy()),
 			cmp.Compare(a.Job.Accepted, b.Job.Accepted),
 			cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 }
 
+// class orders by priority and by standing towards a guarantee.
+func (e *Entry) class(o *Entry) int {
+	beyond := func(e *Entry) int {
+		if e.Beyond {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(e.Job.Spec.Priority.Rank(), o.Job.Spec.Priority.Rank()), cmp.Compare(beyond(e), beyond(o)))
+}
+
 // startBy puts jobs that can meet no aim any more behind those that can.
 func (e *Entry) startBy() time.Time {
 	if e.StartBy.IsZero() {
@@ -204,8 +208,12 @@
 	fetches := m.Images.Fetches(v.Now, v.Limits.FetchMark)
 	teamTaken := map[wire.Team]ledger.Resources{}
 	ahead := map[wire.Image]int{} // tasks passed over here, by image
-	for i := range v.Queue {
-		e := &v.Queue[i]
+	queue := v.Queue
+	if !m.Spot {
+		queue = boundFirst(queue)
+	}
+	for i := range queue {
+		e := &queue[i]
 		j := e.Job
 		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
 			continue
@@ -243,6 +251,22 @@
 	return starts
 }
 
+// boundFirst is the order on a machine that is not spot: of the same priority and
+// standing towards a guarantee, work that may run nowhere else goes first.
+func boundFirst(queue []Entry) []Entry {
+	out := slices.Clone(queue)
+	bound := func(e *Entry) int {
+		if e.Job.Spec.Spot {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(out, func(a, b Entry) int {
+		return cmp.Or(a.class(&b), cmp.Compare(bound(&a), bound(&b)))
+	})
+	return out
+}
+
 func eligible(e *Entry, now time.Time, m *Machine) bool {
 	j := e.Job
 	return e.pending() > 0 && !now.Before(e.Retry) && ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) &&
