--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -247,12 +247,6 @@
 			u.idle = now
 		}
 	}
-	for id, w := range c.workers {
-		if now.Sub(w.Heard) > 10*time.Minute || c.led.Mark(id) == ledger.Gone && now.Sub(w.Heard) > time.Minute {
-			delete(c.workers, id)
-			delete(c.images, id)
-		}
-	}
 }
 
 // lostAfter is how long a machine may be silent. One last heard by a controller
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -20,7 +20,7 @@
 // be when a start is sent.
 const startContact = 4 * time.Second
 
-// Answer to a report: a response, or a status and a hint where to go.
+// ReportAnswer answers a report: a response, or a status and a hint where to go.
 type ReportAnswer struct {
 	Status   int
 	Response *wire.ReportResponse
@@ -492,6 +492,7 @@
 		}
 	}
 	c.forgetClaims()
+	c.forgetWorkers(now)
 	c.markBeyond(entries)
 	for i := range entries {
 		e := &entries[i]
@@ -505,6 +506,16 @@
 	c.withheld = place.Withhold(v, c.withheld)
 }
 
+// forgetWorkers drops machines that are long silent or gone.
+func (c *Core) forgetWorkers(now time.Time) {
+	for id, w := range c.workers {
+		if now.Sub(w.Heard) > 10*time.Minute || c.led.Mark(id) == ledger.Gone && now.Sub(w.Heard) > time.Minute {
+			delete(c.workers, id)
+			delete(c.images, id)
+		}
+	}
+}
+
 // markBeyond marks the jobs that do not fit into their team's guarantee
 // together with the team's earlier unfinished jobs.
 func (c *Core) markBeyond(entries []place.Entry) {
