--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -167,6 +167,7 @@
 	for _, tc := range []struct{ blind, rule string }{
 		{"mm1/j/", "ran_twice"},
 		{"mm1/j/", "went_back"},
+		{"mm1/j/", "ran_cancelled"},
 		{"mm1/t/", "ran_twice"},
 		{"mm1/u/", "quota"},
 		{"mm1/m/", "a start on a leaving machine"},
