One check of whether a machine is open to a job, one rank of images, one way to release claims

Behaviour is as before: the check stood in five places of placement, the rank in two, and the leader's release of a gone machine's claims repeated what recording exits does. Drops a map that nothing read.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -14,6 +14,7 @@
 	"maddermill/internal/mesh"
 	"maddermill/internal/place"
 	"maddermill/internal/state"
+	"maddermill/internal/workers"
 	"maddermill/wire"
 )
 
@@ -126,7 +127,6 @@
 
 	flavorsAt, listAt time.Time
 	listed            bool
-	publishedFlavors  map[wire.MachineSKU]string
 }
 
 func (l *leader) step(ctx context.Context) error {
@@ -157,9 +157,6 @@
 	}
 	l.flavorsAt = time.Now()
 	l.flavors = map[wire.MachineSKU]wire.Flavor{}
-	if l.publishedFlavors == nil {
-		l.publishedFlavors = map[wire.MachineSKU]string{}
-	}
 	for _, f := range list {
 		l.flavors[f.Name] = f
 		l.c.mu.Lock()
@@ -348,33 +345,21 @@
 // be gone.
 func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
 	c := l.c
-	byJob := map[wire.JobID][]ledger.Claim{}
+	var exits []workers.Exit
 	for _, h := range held {
-		byJob[h.Job.ID] = append(byJob[h.Job.ID], h.Claim)
+		for i := range h.Count {
+			exits = append(exits, workers.Exit{Held: h, Task: h.First + wire.TaskIndex(i)})
+		}
 	}
-	for job, claims := range byJob {
-		c.enqueue(&change{draft: func(d *ledger.Draft) error {
-			j := c.led.Job(job)
-			if j == nil || c.led.Mark(id) != ledger.Gone {
+	for _, ch := range c.exitChanges(exits) {
+		draft := ch.draft
+		ch.draft = func(d *ledger.Draft) error {
+			if c.led.Mark(id) != ledger.Gone {
 				return ledger.ErrStale
 			}
-			err := ledger.ErrStale
-			for _, cl := range claims {
-				for i := range cl.Count {
-					switch er := d.Exit(j, cl, cl.First+wire.TaskIndex(i), false); er {
-					case nil:
-						err = nil
-					case ledger.ErrStale:
-					default:
-						return er
-					}
-				}
-				if err == nil && j.Spec.Shape == wire.Gang && j.Spec.Tasks > 1 {
-					_ = d.StopGang(j, cl.Attempt)
-				}
-			}
-			return err
-		}})
+			return draft(d)
+		}
+		c.enqueue(ch)
 	}
 }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -73,7 +73,7 @@
 	f := w.Take(r, c.led.HeldBy(r.Machine), hold, began)
 	c.learn(w, &f, began)
 	var waits []*change
-	for _, ch := range c.exitChanges(w, f.Exits, began) {
+	for _, ch := range c.exitChanges(f.Exits) {
 		c.enqueue(ch)
 		waits = append(waits, ch)
 	}
@@ -265,7 +265,7 @@
 }
 
 // exitChanges makes one change a job out of what is over.
-func (c *Core) exitChanges(w *workers.Worker, exits []workers.Exit, now time.Time) []*change {
+func (c *Core) exitChanges(exits []workers.Exit) []*change {
 	byJob := map[*ledger.Job][]workers.Exit{}
 	var order []*ledger.Job
 	for _, e := range exits {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -97,6 +97,23 @@
 // Under lists the images being fetched.
 func (c *Images) Under() []wire.Image { return slices.Sorted(maps.Keys(c.fetching)) }
 
+// Ranks of images on a machine.
+const (
+	rankCached = iota
+	rankUnderway
+	rankAbsent
+)
+
+func (c *Images) rank(name wire.Image) int {
+	switch {
+	case c.Has(name):
+		return rankCached
+	case c.Underway(name):
+		return rankUnderway
+	}
+	return rankAbsent
+}
+
 // Fetches counts the fetches under way after dropping marks older than age.
 func (c *Images) Fetches(now time.Time, age time.Duration) int {
 	for name, since := range c.fetching {
@@ -215,10 +232,7 @@
 	for i := range queue {
 		e := &queue[i]
 		j := e.Job
-		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
-			continue
-		}
-		if !eligible(e, v.Now, m) || parts(j) > 1 {
+		if !v.open(e, m) || parts(j) > 1 {
 			continue
 		}
 		n := min(free.Times(j.Need, e.pending()), j.ZoneRoom(m.Zone))
@@ -267,6 +281,13 @@
 	return out
 }
 
+// open reports whether a machine takes tasks of the job at all, and isn't kept for
+// another.
+func (v *View) open(e *Entry, m *Machine) bool {
+	keep, kept := v.Withheld[m.ID]
+	return m.Usable && (!kept || keep == e.Job.ID) && eligible(e, v.Now, m)
+}
+
 func eligible(e *Entry, now time.Time, m *Machine) bool {
 	j := e.Job
 	return e.pending() > 0 && !now.Before(e.Retry) && ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) &&
@@ -288,11 +309,8 @@
 		return false
 	}
 	for _, m := range v.Machines {
-		if m != here && m.ID != here.ID && m.Usable && m.Images.Has(e.Job.Spec.Image) && m.Free.Fits(e.Job.Need) &&
-			eligible(e, v.Now, m) && e.Job.ZoneRoom(m.Zone) > 0 {
-			if keep, ok := v.Withheld[m.ID]; !ok || keep == e.Job.ID {
-				return true
-			}
+		if m.ID != here.ID && v.open(e, m) && m.Images.Has(e.Job.Spec.Image) && m.Free.Fits(e.Job.Need) && e.Job.ZoneRoom(m.Zone) > 0 {
+			return true
 		}
 	}
 	return false
@@ -317,8 +335,7 @@
 	}
 	room := 0
 	for _, m := range v.Machines {
-		keep, kept := v.Withheld[m.ID]
-		if m.ID == here.ID || !m.Usable || kept && keep != e.Job.ID || !m.Images.Has(e.Job.Spec.Image) || !eligible(e, v.Now, m) {
+		if m.ID == here.ID || !v.open(e, m) || !m.Images.Has(e.Job.Spec.Image) {
 			continue
 		}
 		free := m.Free
@@ -347,16 +364,10 @@
 	}
 	zones := map[wire.Zone][]option{}
 	for _, m := range v.Machines {
-		keep, withheld := v.Withheld[m.ID]
-		if !m.Usable || !eligible(e, v.Now, m) || withheld && keep != j.ID {
+		if !v.open(e, m) {
 			continue
 		}
-		o := option{m, m.Free.Times(j.Need, need), 2}
-		if m.Images.Has(j.Spec.Image) {
-			o.rank = 0
-		} else if m.Images.Underway(j.Spec.Image) {
-			o.rank = 1
-		}
+		o := option{m, m.Free.Times(j.Need, need), m.Images.rank(j.Spec.Image)}
 		if o.room > 0 {
 			zones[m.Zone] = append(zones[m.Zone], o)
 			zones[""] = append(zones[""], o)
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -59,28 +59,22 @@
 		fetch int
 		loss  time.Duration
 	}
-	worst := 2 // how far from its image a machine may be
+	worst := rankAbsent // how far from its image a machine may be
 	var best *option
 	for _, m := range v.Machines {
-		keep, kept := v.Withheld[m.ID]
-		if kept && keep == j.ID {
+		if keep, kept := v.Withheld[m.ID]; kept && keep == j.ID {
 			return nil // one is being emptied already
 		}
-		if kept || !m.Usable || !eligible(e, v.Now, m) || j.ZoneRoom(m.Zone) < 1 {
+		if !v.open(e, m) || j.ZoneRoom(m.Zone) < 1 {
 			continue
 		}
-		o := option{Eviction: Eviction{Machine: m, Entry: e}, fetch: 2}
-		if m.Images.Has(j.Spec.Image) {
-			o.fetch = 0
-		} else if m.Images.Underway(j.Spec.Image) {
-			o.fetch = 1
-		}
+		o := option{Eviction: Eviction{Machine: m, Entry: e}, fetch: m.Images.rank(j.Spec.Image)}
 		free := m.Free
 		if free.Fits(j.Need) {
-			if o.fetch < 2 {
+			if o.fetch < rankAbsent {
 				return nil // it starts there with the next report
 			}
-			worst = 0
+			worst = rankCached
 			continue
 		}
 		list := slices.DeleteFunc(v.Victims(m), func(x Victim) bool {
