One picture a second of queue and machines, kept up by what changes; gangs placed in one pass

Cause: every report rebuilt every machine that any controller had heard, each step of the leader did so three times, and each gang sorted all of them. At a thousand machines that is the whole processor quota. Reports now change their own machine in the picture, the ledger tells which machines its changes concern, images and evictions are indexed once a picture, and the plan drops machines without room for any job. A test counts what is looked at.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -48,8 +48,8 @@
 	jobs     map[wire.JobID]*jobNotes
 	classes  classSums
 	claimed  map[claimKey]time.Time // when a claim was first seen
-	queue    []place.Entry
-	queueAt  time.Time
+	seen     *place.View            // the picture that placement decides from, and
+	seenAt   time.Time              // since when
 	withheld map[wire.MachineID]wire.JobID
 	making   map[wire.MachineID]room
 
@@ -191,13 +191,14 @@
 	defer c.mu.Unlock()
 	c.led = led
 	c.loaded = true
-	c.queueAt = time.Time{}
+	c.seen = nil
 	c.advance(from)
 	return from, nil
 }
 
 func (c *Core) advance(to wire.Revision) {
 	c.led.CaughtUp(to)
+	c.retouch(time.Now())
 	close(c.advanced)
 	c.advanced = make(chan struct{})
 }
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -92,7 +92,8 @@
 		}
 	}()
 	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
-		units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
+		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
+	defer l.forgetPlacing()
 	for ctx.Err() == nil {
 		if err := l.step(ctx); err != nil && ctx.Err() == nil {
 			c.log.Debug("fleet step", "err", err)
@@ -112,6 +113,12 @@
 	idle   time.Time
 }
 
+// gangStart is a gang's start on its way to the ledger.
+type gangStart struct {
+	change *change
+	tasks  int
+}
+
 // leader is the state of one term. A new one starts from the cloud's list.
 type leader struct {
 	c       *Core
@@ -121,6 +128,7 @@
 	began   time.Time
 	hires   int
 	units   map[wire.MachineID]*unit
+	placing map[wire.JobID]gangStart   // decided, and not yet known to be in the ledger
 	refused map[fleet.Option]time.Time // no capacity until
 	flavors map[wire.MachineSKU]wire.Flavor
 	settled time.Time // since when silence of machines counts
@@ -312,20 +320,23 @@
 	c := l.c
 	var leaving []wire.MachineID
 	c.mu.Lock()
-	c.led.Marks(func(id wire.MachineID, k ledger.MachineMark) {
-		held := c.led.HeldBy(id)
-		switch k {
-		case ledger.Draining:
-			if len(held) == 0 {
-				l.setMark(id, ledger.Leaving, "empty")
-			}
-		case ledger.Leaving:
+	c.led.Outgoing(func(id wire.MachineID, k ledger.MachineMark) {
+		if k == ledger.Leaving {
 			leaving = append(leaving, id)
-		case ledger.Gone:
-			delete(l.units, id)
+		} else if len(c.led.HeldBy(id)) == 0 {
+			l.setMark(id, ledger.Leaving, "empty")
+		}
+	})
+	c.led.Holders(func(id wire.MachineID, held []ledger.Held) {
+		if c.led.Mark(id) == ledger.Gone {
 			l.releaseAll(id, held)
 		}
 	})
+	for id := range l.units {
+		if c.led.Mark(id) == ledger.Gone {
+			delete(l.units, id)
+		}
+	}
 	c.mu.Unlock()
 	slices.Sort(leaving)
 	for batch := range slices.Chunk(leaving, cloud.MaxReturn) {
@@ -371,32 +382,37 @@
 	if now.Sub(c.contact) > startContact || now.Sub(l.began) < 2*c.set.Cluster.Workers.Report.Duration() {
 		return
 	}
-	v := c.view(now)
-	for i := range v.Queue {
-		e := &v.Queue[i]
-		j := e.Job
-		if j.Spec.Shape != wire.Gang || j.Spec.Tasks-j.Done < 2 || j.Claimed > 0 || j.Pending() == 0 {
-			continue
-		}
-		parts := place.Gang(v, e)
-		if parts == nil {
-			continue
+	for id, g := range l.placing {
+		select {
+		case <-g.change.done:
+			c.notes(id).taken -= g.tasks
+			delete(l.placing, id)
+		default:
 		}
-		c.log.Info("start", "job", j.ID, "tasks", j.Pending(), "machines", len(parts))
-		id := j.ID
-		c.enqueue(&change{drop: true, until: now.Add(2 * time.Second), draft: func(d *ledger.Draft) error {
+	}
+	for _, g := range place.Gangs(c.view(now)) {
+		j, parts := g.Entry.Job, g.Parts
+		id, n := j.ID, j.Pending()
+		c.log.Info("start", "job", id, "tasks", n, "machines", len(parts))
+		ch := &change{drop: true, until: now.Add(2 * time.Second), draft: func(d *ledger.Draft) error {
 			if j := c.led.Job(id); j != nil {
 				return d.ClaimGang(j, parts)
 			}
 			return ledger.ErrStale
-		}})
-		for _, p := range parts {
-			for _, m := range v.Machines {
-				if m.ID == p.Site.Machine {
-					m.Free = m.Free.Add(j.Need, -p.Count)
-				}
-			}
-		}
+		}}
+		c.notes(id).taken += n
+		l.placing[id] = gangStart{ch, n}
+		c.enqueue(ch)
+	}
+}
+
+// forgetPlacing ends a term: gangs on their way to the ledger are anyone's again.
+// Should a start land after all, others for the same gang are refused.
+func (l *leader) forgetPlacing() {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	for id, g := range l.placing {
+		l.c.notes(id).taken -= g.tasks
 	}
 }
 
@@ -408,12 +424,8 @@
 		return nil
 	}
 	c.mu.Lock()
-	c.reorder(now)
-	known := map[wire.MachineID]*place.Machine{}
-	for _, m := range c.machines(now) {
-		known[m.ID] = m
-	}
-	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: c.queue, TeamRoom: c.led.TeamRoom,
+	v := c.view(now)
+	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: v.Queue, TeamRoom: c.led.TeamRoom,
 		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
 		Headroom: c.set.Operators.Headroom,
 		Refused:  func(o fleet.Option) bool { return now.Before(l.refused[o]) }}
@@ -427,7 +439,7 @@
 			// One that is up but has yet to accept our token will take tasks in a
 			// moment; not to count it would rent another in its place.
 			Usable: booting || !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
-		if m := known[id]; m != nil {
+		if m := v.Machine(id); m != nil {
 			n.Caches = m.Images.Has
 			if under := m.Images.Under(); len(under) > 0 {
 				n.Fetching = under[0]
--- /dev/null
+++ b/internal/controller/picture.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/mesh"
+	"maddermill/internal/place"
+	"maddermill/internal/workers"
+	"maddermill/wire"
+)
+
+// pictureFor is how long a picture of the queue and of all machines serves. Making
+// one costs as much as there is; each report, claim and start in between only
+// changes the machine that it concerns.
+const pictureFor = time.Second
+
+// view is what placement decides from.
+func (c *Core) view(now time.Time) *place.View {
+	if c.seen == nil || now.Sub(c.seenAt) > pictureFor {
+		c.seenAt = now
+		c.seen = c.look(now)
+	}
+	c.seen.Now = now
+	return c.seen
+}
+
+// look makes a new picture.
+func (c *Core) look(now time.Time) *place.View {
+	c.led.Touched(func(wire.MachineID) {}) // all are read anew
+	v := &place.View{Now: now, Queue: c.order(now), TeamRoom: c.led.TeamRoom, Machines: c.machines(now),
+		Limits: place.Limits{ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
+			WithholdAfter: c.set.Operators.WithholdAfter, DeferCold: 3 * c.set.Cluster.Workers.Report.Duration()}}
+	if c.set.Operators.Preempt {
+		v.Victims = func(m *place.Machine) []place.Victim { return c.victims(m, v.Now) }
+	}
+	for _, m := range v.Machines {
+		if m.Mine {
+			v.Cold += m.Images.Fetches(now, c.set.Operators.FetchMark)
+		}
+	}
+	c.withheld = place.Withhold(v, c.withheld)
+	v.Withheld = c.keptFor(now)
+	return v
+}
+
+// retouch brings the picture up to the ledger, machine by machine.
+func (c *Core) retouch(now time.Time) {
+	if c.seen == nil {
+		return
+	}
+	c.led.Touched(func(id wire.MachineID) {
+		if m := c.seen.Machine(id); m != nil {
+			c.setRoom(m, now)
+			m.Usable = m.Usable && c.led.Mark(id) == ""
+		}
+	})
+}
+
+// machineOf is a machine held here, as placement sees it.
+func (c *Core) machineOf(w *workers.Worker, now time.Time) *place.Machine {
+	m := &place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold,
+		Images: c.imagesOf(w), Usable: c.usable(w, now), Mine: true}
+	c.setRoom(m, now)
+	return m
+}
+
+// machineOfPeer is a machine that a peer holds, as it was at a time.
+func (c *Core) machineOfPeer(o *mesh.Machine, at, now time.Time) *place.Machine {
+	f, _ := c.led.Flavor(o.Type)
+	m := &place.Machine{ID: o.ID, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Session: o.Session, Token: o.Token,
+		Images: place.NewImages(f.CacheGB), Usable: o.Usable}
+	for _, name := range o.Images {
+		m.Images.Used(name, 0)
+	}
+	for _, name := range o.Fetching {
+		m.Images.Fetching(name, at)
+	}
+	c.setRoom(m, now)
+	return m
+}
+
+func (c *Core) setRoom(m *place.Machine, now time.Time) {
+	f, _ := c.led.Flavor(m.Type)
+	m.FetchGB, m.Busy = f.FetchGBps, c.busy(m.ID, now)
+	m.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
+	m.Free = m.Total
+	for _, h := range c.led.HeldBy(m.ID) {
+		if h.Session >= m.Session {
+			m.Free = m.Free.Add(h.Job.Need, -h.Count)
+		}
+	}
+}
+
+// machines lists every machine that some controller has heard lately.
+func (c *Core) machines(now time.Time) []*place.Machine {
+	silent := 2*c.set.Cluster.Workers.Report.Duration() + 2*time.Second
+	byID := map[wire.MachineID]*place.Machine{}
+	heard := map[wire.MachineID]time.Time{}
+	for _, w := range c.workers {
+		if now.Sub(w.Heard) < silent {
+			byID[w.ID], heard[w.ID] = c.machineOf(w, now), w.Heard
+		}
+	}
+	for _, p := range c.peers {
+		for i := range p.status.Machines {
+			o := &p.status.Machines[i]
+			at := p.asked.Add(-time.Duration(o.AgeMS) * time.Millisecond)
+			if now.Sub(at) < silent && at.After(heard[o.ID]) && c.led.Mark(o.ID) == "" {
+				byID[o.ID], heard[o.ID] = c.machineOfPeer(o, at, now), at
+			}
+		}
+	}
+	out := make([]*place.Machine, 0, len(byID))
+	for _, m := range byID {
+		out = append(out, m)
+	}
+	return out
+}
+
+// order puts the jobs that have something to place into policy order.
+func (c *Core) order(now time.Time) []place.Entry {
+	var entries []place.Entry
+	c.led.Active(func(j *ledger.Job) {
+		n := c.notes(j.ID)
+		if j.Pending() == 0 {
+			n.since = time.Time{}
+			return
+		}
+		if n.since.IsZero() {
+			n.since = now
+		}
+		for m, at := range n.avoid {
+			if now.Sub(at) > avoidFor {
+				delete(n.avoid, m)
+			}
+		}
+		entries = append(entries, place.Entry{Job: j, Retry: n.retry, Waiting: now.Sub(n.since), Taken: &n.taken, Avoid: func(m wire.MachineID) bool {
+			_, bad := n.avoid[m]
+			return bad
+		}})
+	})
+	for id := range c.jobs {
+		if j := c.led.Job(id); j == nil || j.State != ledger.Active {
+			delete(c.jobs, id)
+		}
+	}
+	c.forgetClaims()
+	c.forgetWorkers(now)
+	c.markBeyond(entries)
+	for i := range entries {
+		e := &entries[i]
+		e.Expected = c.expected(e.Job)
+		e.StartBy = c.startBy(e.Job, e.Beyond, e.Expected, now)
+	}
+	place.Order(entries)
+	return entries
+}
+
+// markBeyond marks the jobs that do not fit into their team's guarantee
+// together with the team's earlier unfinished jobs.
+func (c *Core) markBeyond(entries []place.Entry) {
+	sum := map[wire.Team]ledger.Resources{}
+	c.led.Active(func(j *ledger.Job) {
+		sum[j.Spec.Team] = sum[j.Spec.Team].Add(j.Need, j.Claimed)
+	})
+	place.Order(entries)
+	for i := range entries {
+		e := &entries[i]
+		t := c.set.Team(e.Job.Spec.Team)
+		if t == nil {
+			continue
+		}
+		s := sum[t.Name].Add(e.Job.Need, e.Job.Pending())
+		if e.Beyond = beyond(t, s); !e.Beyond {
+			sum[t.Name] = s
+		}
+	}
+}
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -35,12 +35,14 @@
 }
 
 func (c *Core) makeRoom(now time.Time) {
-	x := place.Evict(c.view(now))
+	v := c.view(now)
+	x := place.Evict(v)
 	if x == nil || !x.Machine.Mine {
 		return
 	}
 	w := c.workers[x.Machine.ID]
 	c.making[w.ID] = room{x.Entry.Job.ID, now.Add(makeRoomFor)}
+	v.Withheld[w.ID] = x.Entry.Job.ID
 	for _, victim := range x.Victims {
 		h := victim.Held
 		w.Stop(h)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -70,6 +70,8 @@
 	Most      int // machines at once, 0: no bound
 	IdleBoots float64
 	Headroom  float64
+
+	Looked int // machines looked at: what a plan costs
 }
 
 // Plan is what to do.
@@ -112,7 +114,15 @@
 	var plan Plan
 	hired := map[Option]int{}
 	total := len(in.Units)
+	perZone := map[wire.Zone]int{}
+	for i := range in.Units {
+		perZone[in.Units[i].Zone]++
+	}
 	extra := map[wire.Team]ledger.Resources{}
+	// Machines without room for a task of any job are not looked at for each.
+	least, latest := in.least()
+	full := func(s *slot) bool { return !s.unit.room(latest).Fits(least) }
+	open := slices.DeleteFunc(slices.Clone(slots), full)
 	for i := range in.Queue {
 		j := in.Queue[i].Job
 		left := in.TeamRoom(j, extra[j.Spec.Team], j.Pending())
@@ -145,6 +155,7 @@
 			}
 			return u.room(by).Times(j.Need, left)
 		}
+		filled := false
 		use := func(s *slot, n int) {
 			s.unit.take(j.Need, n, until)
 			s.used = true
@@ -152,11 +163,13 @@
 				s.unit.Fetching = j.Spec.Image
 			}
 			left -= n
+			filled = filled || full(s)
 		}
-		for _, s := range slots {
+		for _, s := range open {
 			if left == 0 {
 				break
 			}
+			in.Looked++
 			if n := fits(s); n > 0 {
 				use(s, n)
 				if j.Spec.OneZone {
@@ -165,7 +178,7 @@
 			}
 		}
 		for left > 0 && (in.Most == 0 || total < in.Most) {
-			o, ok := cheapest(in, j, zone, hired)
+			o, ok := cheapest(in, j, zone, perZone)
 			if !ok {
 				break
 			}
@@ -177,13 +190,17 @@
 				break
 			}
 			use(s, n)
-			slots = append(slots, s)
+			slots, open = append(slots, s), append(open, s)
 			hired[o]++
+			perZone[o.Zone]++
 			total++
 			if j.Spec.OneZone {
 				zone = o.Zone
 			}
 		}
+		if filled {
+			open = slices.DeleteFunc(open, full)
+		}
 	}
 	for o, n := range hired {
 		plan.Hire = append(plan.Hire, Need{o, n})
@@ -215,6 +232,25 @@
 	return plan
 }
 
+// least is the least that a task of any job takes, and the time by which a machine
+// rented now would be up.
+func (in *Input) least() (need ledger.Resources, by time.Time) {
+	for i := range in.Queue {
+		n := in.Queue[i].Job.Need
+		if i == 0 {
+			need = n
+		}
+		need = ledger.Resources{CPU: min(need.CPU, n.CPU), GPU: min(need.GPU, n.GPU), Memory: min(need.Memory, n.Memory)}
+	}
+	by = in.Now
+	for _, f := range in.Flavors {
+		if up := in.Now.Add(f.Boot.Duration()); up.After(by) {
+			by = up
+		}
+	}
+	return need, by
+}
+
 // boot is how soon a machine for the job could be up.
 func (in *Input) boot(j *ledger.Job) time.Duration {
 	var least time.Duration
@@ -238,14 +274,7 @@
 
 // cheapest chooses what to rent for a job: the lowest price for the room that
 // its tasks get, then the zone with the fewest machines.
-func cheapest(in *Input, j *ledger.Job, zone wire.Zone, hired map[Option]int) (Option, bool) {
-	perZone := map[wire.Zone]int{}
-	for _, u := range in.Units {
-		perZone[u.Zone]++
-	}
-	for o, n := range hired {
-		perZone[o.Zone] += n
-	}
+func cheapest(in *Input, j *ledger.Job, zone wire.Zone, perZone map[wire.Zone]int) (Option, bool) {
 	var best Option
 	var bestPrice float64
 	found := false
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -33,6 +33,7 @@
 	conds map[string]wire.Revision
 	puts  map[string]any
 	order []string
+	sizes map[string]int // of the values, once known; what is written anew is measured anew
 }
 
 type draftJob struct {
@@ -47,7 +48,7 @@
 // NewDraft starts an empty transaction.
 func (l *Ledger) NewDraft() *Draft {
 	return &Draft{l: l, jobs: map[wire.JobID]*draftJob{}, marks: map[wire.MachineID]MachineMark{},
-		usage: map[wire.Team]Resources{}, conds: map[string]wire.Revision{}, puts: map[string]any{}}
+		usage: map[wire.Team]Resources{}, conds: map[string]wire.Revision{}, puts: map[string]any{}, sizes: map[string]int{}}
 }
 
 func (d *Draft) job(j *Job) *draftJob {
@@ -97,6 +98,7 @@
 		d.order = append(d.order, key)
 	}
 	d.puts[key] = v
+	delete(d.sizes, key)
 }
 
 // MarshalJSON writes the job's record.
@@ -120,7 +122,7 @@
 func (d *Draft) copy() *Draft {
 	b := *d
 	b.marks, b.usage, b.conds = maps.Clone(d.marks), maps.Clone(d.usage), maps.Clone(d.conds)
-	b.order = slices.Clone(d.order)
+	b.order, b.sizes = slices.Clone(d.order), maps.Clone(d.sizes)
 	b.jobs = make(map[wire.JobID]*draftJob, len(d.jobs))
 	b.puts = maps.Clone(d.puts)
 	for id, w := range d.jobs {
@@ -150,15 +152,20 @@
 		return ErrFull
 	}
 	total := 64 * len(d.conds)
-	for _, v := range d.puts {
-		b, err := json.Marshal(v)
-		if err != nil {
-			return err
+	for key, v := range d.puts {
+		size, known := d.sizes[key]
+		if !known {
+			b, err := json.Marshal(v)
+			if err != nil {
+				return err
+			}
+			size = len(b)
+			d.sizes[key] = size
 		}
-		if len(b) > lim.ValueBytes {
+		if size > lim.ValueBytes {
 			return ErrTooLarge
 		}
-		total += len(b) + 280
+		total += size + 280
 	}
 	if total > lim.TxnBytes {
 		if alone {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -128,6 +128,8 @@
 	usage    map[wire.Team]Resources
 	teamVer  map[wire.Team]wire.Revision
 	marks    map[wire.MachineID]MachineMark
+	leaving  map[wire.MachineID]struct{} // marked, and not yet known to be gone
+	touched  map[wire.MachineID]struct{} // whose claims or marks changed since last asked
 	markVer  map[wire.MachineID]wire.Revision
 	members  map[wire.MemberID]json.RawMessage
 	flavors  map[wire.MachineSKU]wire.Flavor
@@ -153,6 +155,7 @@
 		jobs: map[wire.JobID]*Job{}, active: map[wire.JobID]*Job{}, orphans: map[string]Event{},
 		held: map[wire.MachineID][]Held{}, usage: map[wire.Team]Resources{},
 		teamVer: map[wire.Team]wire.Revision{}, marks: map[wire.MachineID]MachineMark{},
+		leaving: map[wire.MachineID]struct{}{}, touched: map[wire.MachineID]struct{}{},
 		markVer: map[wire.MachineID]wire.Revision{}, members: map[wire.MemberID]json.RawMessage{},
 		flavors: map[wire.MachineSKU]wire.Flavor{}}
 }
@@ -199,6 +202,23 @@
 	}
 }
 
+// Outgoing calls f for every machine on its way out that isn't known to be gone.
+// Marks of machines long gone are kept for ever; no duty walks them.
+func (l *Ledger) Outgoing(f func(wire.MachineID, MachineMark)) {
+	for m := range l.leaving {
+		f(m, l.marks[m])
+	}
+}
+
+// Touched calls f for every machine whose claims or mark have changed since the
+// last call.
+func (l *Ledger) Touched(f func(wire.MachineID)) {
+	for m := range l.touched {
+		f(m)
+	}
+	clear(l.touched)
+}
+
 // Member returns what a controller last published.
 func (l *Ledger) Member(m wire.MemberID) json.RawMessage { return l.members[m] }
 
@@ -256,6 +276,12 @@
 			return err
 		}
 		l.marks[m], l.markVer[m] = r.Mark, e.Version
+		l.touched[m] = struct{}{}
+		if r.Mark == Gone {
+			delete(l.leaving, m)
+		} else {
+			l.leaving[m] = struct{}{}
+		}
 		return nil
 	}
 	if rest, ok = strings.CutPrefix(e.Key, teamPrefix); ok {
@@ -367,10 +393,12 @@
 	l.usage[team] = l.usage[team].Add(j.Need, k)
 	for _, cl := range c.Claims {
 		l.held[cl.Machine] = append(l.held[cl.Machine], Held{j, cl, n})
+		l.touched[cl.Machine] = struct{}{}
 	}
 }
 
 func (l *Ledger) unhold(m wire.MachineID, j *Job, n int) {
+	l.touched[m] = struct{}{}
 	kept := l.held[m][:0]
 	for _, h := range l.held[m] {
 		if h.Job != j || h.chunk != n {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -203,7 +203,9 @@
 	How   How
 }
 
-// View is what a decision is made from.
+// View is what decisions are made from. One view serves many of them: what is
+// looked up in it by image, by machine or by job is indexed once, so that the
+// cost of a decision follows what it can change and not the size of the whole.
 type View struct {
 	Now      time.Time
 	Limits   Limits
@@ -213,6 +215,86 @@
 	Cold     int        // fetches in flight at this controller's machines
 	Withheld map[wire.MachineID]wire.JobID
 	Victims  func(*Machine) []Victim // what may be stopped there; nil: nothing
+
+	// Looked counts the entries and machines that decisions have looked at.
+	Looked int
+
+	caching map[wire.Image][]*Machine
+	byID    map[wire.MachineID]*Machine
+	onOwn   []Entry // the order on machines that are not spot
+	least   *ledger.Resources
+	victims map[wire.MachineID][]Victim
+	evict   map[wire.JobID]*Eviction
+}
+
+// index sorts the machines by what they are looked up by.
+func (v *View) index() {
+	v.caching, v.byID = map[wire.Image][]*Machine{}, make(map[wire.MachineID]*Machine, len(v.Machines))
+	for _, m := range v.Machines {
+		v.Looked++
+		v.byID[m.ID] = m
+		for i := range m.Images.cached {
+			name := m.Images.cached[i].name
+			v.caching[name] = append(v.caching[name], m)
+		}
+	}
+}
+
+// cachedOn lists the machines that cache an image.
+func (v *View) cachedOn(name wire.Image) []*Machine {
+	if v.caching == nil {
+		v.index()
+	}
+	v.Looked += len(v.caching[name])
+	return v.caching[name]
+}
+
+// Machine returns a machine of the view, or nil.
+func (v *View) Machine(id wire.MachineID) *Machine {
+	if v.byID == nil {
+		v.index()
+	}
+	return v.byID[id]
+}
+
+// Put takes over what is now known of a machine. Images that it caches since are
+// found by the next view.
+func (v *View) Put(m *Machine) *Machine {
+	if old := v.Machine(m.ID); old != nil {
+		*old = *m
+		return old
+	}
+	v.Machines = append(v.Machines, m)
+	v.byID[m.ID] = m
+	for _, i := range m.Images.cached {
+		v.caching[i.name] = append(v.caching[i.name], m)
+	}
+	return m
+}
+
+// order is the policy order as it is on the machine.
+func (v *View) order(m *Machine) []Entry {
+	if m.Spot {
+		return v.Queue
+	}
+	if v.onOwn == nil {
+		v.onOwn = boundFirst(v.Queue)
+	}
+	return v.onOwn
+}
+
+// leastNeed is the least that any task in the queue takes.
+func (v *View) leastNeed() ledger.Resources {
+	if v.least == nil {
+		const most = 1 << 60
+		least := ledger.Resources{CPU: most, GPU: most, Memory: most}
+		for i := range v.Queue {
+			n := v.Queue[i].Job.Need
+			least = ledger.Resources{CPU: min(least.CPU, n.CPU), GPU: min(least.GPU, n.GPU), Memory: min(least.Memory, n.Memory)}
+		}
+		v.least = &least
+	}
+	return *v.least
 }
 
 // OnRoom decides what a machine that reports free room is given.
@@ -225,11 +307,12 @@
 	fetches := m.Images.Fetches(v.Now, v.Limits.FetchMark)
 	teamTaken := map[wire.Team]ledger.Resources{}
 	ahead := map[wire.Image]int{} // tasks passed over here, by image
-	queue := v.Queue
-	if !m.Spot {
-		queue = boundFirst(queue)
-	}
+	queue, least := v.order(m), v.leastNeed()
 	for i := range queue {
+		if !free.Fits(least) {
+			break
+		}
+		v.Looked++
 		e := &queue[i]
 		j := e.Job
 		if !v.open(e, m) || parts(j) > 1 {
@@ -262,6 +345,7 @@
 		teamTaken[j.Spec.Team] = teamTaken[j.Spec.Team].Add(j.Need, n)
 		starts = append(starts, Start{j, n, how})
 	}
+	v.Cold = cold
 	return starts
 }
 
@@ -308,8 +392,8 @@
 	if e.Waiting > v.Limits.DeferCold {
 		return false
 	}
-	for _, m := range v.Machines {
-		if m.ID != here.ID && v.open(e, m) && m.Images.Has(e.Job.Spec.Image) && m.Free.Fits(e.Job.Need) && e.Job.ZoneRoom(m.Zone) > 0 {
+	for _, m := range v.cachedOn(e.Job.Spec.Image) {
+		if m.ID != here.ID && v.open(e, m) && m.Free.Fits(e.Job.Need) && e.Job.ZoneRoom(m.Zone) > 0 {
 			return true
 		}
 	}
@@ -334,8 +418,8 @@
 		return 0
 	}
 	room := 0
-	for _, m := range v.Machines {
-		if m.ID == here.ID || !v.open(e, m) || !m.Images.Has(e.Job.Spec.Image) {
+	for _, m := range v.cachedOn(e.Job.Spec.Image) {
+		if m.ID == here.ID || !v.open(e, m) {
 			continue
 		}
 		free := m.Free
@@ -349,35 +433,124 @@
 	return room
 }
 
-// Gang places a whole gang over all machines, or returns nil. Machines that
-// cache the image go first, then those that fetch it, then idle ones.
-func Gang(v *View, e *Entry) []ledger.Placed {
-	j := e.Job
-	need := j.Pending()
-	if parts(j) != need || v.TeamRoom(j, ledger.Resources{}, need) < need {
-		return nil // an earlier attempt is still on its machines
+// GangStart is a decision to start a whole gang.
+type GangStart struct {
+	Entry *Entry
+	Parts []ledger.Placed
+}
+
+// Gangs places the gangs of several tasks, in policy order and each whole or not
+// at all, over all machines. What is given to one is taken from the view.
+func Gangs(v *View) []GangStart {
+	var out []GangStart
+	var roomy []*Machine // with room for a task of the least of the gangs
+	taken := map[wire.Team]ledger.Resources{}
+	for i := range v.Queue {
+		v.Looked++
+		e := &v.Queue[i]
+		j := e.Job
+		if parts(j) < 2 || j.Claimed > 0 || e.pending() < parts(j) || v.Now.Before(e.Retry) {
+			continue // the rest of a gang waits until all of it is off its machines
+		}
+		if need := parts(j); v.TeamRoom(j, taken[j.Spec.Team], need) < need {
+			continue
+		}
+		if roomy == nil {
+			roomy = v.roomyForGangs()
+		}
+		placed := v.gang(e, roomy)
+		if placed == nil {
+			continue
+		}
+		taken[j.Spec.Team] = taken[j.Spec.Team].Add(j.Need, parts(j))
+		for _, p := range placed {
+			m := v.Machine(p.Site.Machine)
+			m.Free = m.Free.Add(j.Need, -p.Count)
+			if m.Images.rank(j.Spec.Image) == rankAbsent {
+				m.Images.Fetching(j.Spec.Image, v.Now)
+			}
+		}
+		out = append(out, GangStart{e, placed})
+	}
+	return out
+}
+
+// roomyForGangs lists the usable machines with room for a task of some gang that
+// waits, so that each gang only looks at those.
+func (v *View) roomyForGangs() []*Machine {
+	const most = 1 << 60
+	least := ledger.Resources{CPU: most, GPU: most, Memory: most}
+	for i := range v.Queue {
+		if j := v.Queue[i].Job; parts(j) > 1 && j.Claimed == 0 {
+			least = ledger.Resources{CPU: min(least.CPU, j.Need.CPU), GPU: min(least.GPU, j.Need.GPU), Memory: min(least.Memory, j.Need.Memory)}
+		}
+	}
+	roomy := []*Machine{}
+	for _, m := range v.Machines {
+		v.Looked++
+		if m.Usable && m.Free.Fits(least) {
+			m.Images.Fetches(v.Now, v.Limits.FetchMark)
+			roomy = append(roomy, m)
+		}
 	}
+	return roomy
+}
+
+// rankBusy is the rank of an image on a machine that would have to fetch it while
+// it fetches another: the two share the rate.
+const rankBusy = rankAbsent + 1
+
+// gang places one gang. Its tasks start together, so the machine furthest from
+// having the image decides when: of the zones that it may be in, the one goes first
+// where that one is nearest. Machines nearest to the image go first, among them cheap
+// ones, which not all work may use, and then those that the gang fills best.
+func (v *View) gang(e *Entry, roomy []*Machine) []ledger.Placed {
+	j := e.Job
+	need := parts(j)
 	type option struct {
 		m    *Machine
 		room int
 		rank int
+		left int64 // GPUs and CPUs that stay free beside the gang
 	}
 	zones := map[wire.Zone][]option{}
-	for _, m := range v.Machines {
-		if !v.open(e, m) {
+	total := 0
+	for _, m := range roomy {
+		v.Looked++
+		room := m.Free.Times(j.Need, need)
+		if room == 0 || !v.open(e, m) {
 			continue
 		}
-		o := option{m, m.Free.Times(j.Need, need), m.Images.rank(j.Spec.Image)}
-		if o.room > 0 {
-			zones[m.Zone] = append(zones[m.Zone], o)
-			zones[""] = append(zones[""], o)
+		free := m.Free.Add(j.Need, -room)
+		o := option{m, room, m.Images.rank(j.Spec.Image), free.GPU + free.CPU}
+		if o.rank == rankAbsent && len(m.Images.fetching) > 0 {
+			o.rank = rankBusy
+		}
+		zone := m.Zone
+		if !j.Spec.OneZone {
+			zone = ""
 		}
+		zones[zone] = append(zones[zone], o)
+		total += room
+	}
+	if total < need {
+		return nil
 	}
-	try := func(options []option) []ledger.Placed {
+	own := func(m *Machine) int {
+		if m.Spot {
+			return 0
+		}
+		return 1
+	}
+	var best []ledger.Placed
+	var bestRank int
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		options := zones[zone]
 		slices.SortFunc(options, func(a, b option) int {
-			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
+				cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
 		})
-		left := need
+		left, rank := need, 0
 		taken := map[wire.Zone]int{}
 		var out []ledger.Placed
 		for _, o := range options {
@@ -390,29 +563,14 @@
 			}
 			taken[o.m.Zone] += n
 			left -= n
+			rank = o.rank
 			out = append(out, ledger.Placed{Site: o.m.Site(), Count: n})
 		}
-		if left > 0 {
-			return nil
-		}
-		return out
-	}
-	if !j.Spec.OneZone {
-		return try(zones[""])
-	}
-	names := make([]wire.Zone, 0, len(zones))
-	for z := range zones {
-		if z != "" {
-			names = append(names, z)
-		}
-	}
-	slices.Sort(names)
-	for _, z := range names {
-		if out := try(zones[z]); out != nil {
-			return out
+		if left == 0 && (best == nil || rank < bestRank) {
+			best, bestRank = out, rank
 		}
 	}
-	return nil
+	return best
 }
 
 // Withhold chooses the machines whose freed room is kept for gangs that have
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -112,19 +112,22 @@
 		for i := range 5 {
 			v.Machines = append(v.Machines, machine(rng, i))
 		}
-		parts := place.Gang(v, &v.Queue[0])
-		if parts == nil {
+		free := map[wire.MachineID]ledger.Resources{}
+		for _, m := range v.Machines {
+			free[m.ID] = m.Free
+		}
+		starts := place.Gangs(v)
+		if len(starts) == 0 {
 			continue
 		}
+		parts := starts[0].Parts
 		placed++
 		if err := l.NewDraft().ClaimGang(l.Job(s.ID), parts); err != nil {
 			t.Fatalf("seed %d: %+v is refused: %v", seed, parts, err)
 		}
 		for _, p := range parts {
-			for _, m := range v.Machines {
-				if m.ID == p.Site.Machine && m.Free.Times(l.Job(s.ID).Need, 100) < p.Count {
-					t.Fatalf("seed %d: %d tasks do not fit on %s", seed, p.Count, m.ID)
-				}
+			if free[p.Site.Machine].Times(l.Job(s.ID).Need, 100) < p.Count {
+				t.Fatalf("seed %d: %d tasks do not fit on %s", seed, p.Count, p.Site.Machine)
 			}
 		}
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"maddermill/internal/ledger"
+	"maddermill/wire"
 )
 
 // Victim is a claim that may be stopped, with what that costs.
@@ -46,10 +47,33 @@
 	return nil
 }
 
-// evictFor chooses the machine to make room on for one job: one that caches its
-// image before others, then the one where the least is lost. While there is room
-// that only lacks the image, only a machine that caches it is worth emptying.
+// evictFor chooses, once in a view, the machine to make room on for one job.
 func (v *View) evictFor(e *Entry) *Eviction {
+	x, known := v.evict[e.Job.ID]
+	if !known {
+		if v.evict == nil {
+			v.evict, v.victims = map[wire.JobID]*Eviction{}, map[wire.MachineID][]Victim{}
+		}
+		x = v.chooseEviction(e)
+		v.evict[e.Job.ID] = x
+	}
+	return x
+}
+
+// victimsOn lists, once in a view, what may be stopped on a machine.
+func (v *View) victimsOn(m *Machine) []Victim {
+	list, known := v.victims[m.ID]
+	if !known {
+		list = v.Victims(m)
+		v.victims[m.ID] = list
+	}
+	return list
+}
+
+// chooseEviction prefers a machine that caches the job's image, then the one where
+// the least is lost. While there is room that only lacks the image, only a machine
+// that caches it is worth emptying.
+func (v *View) chooseEviction(e *Entry) *Eviction {
 	j := e.Job
 	if v.Victims == nil || parts(j) > 1 || e.pending() == 0 || v.Now.Before(e.Retry) || v.TeamRoom(j, ledger.Resources{}, 1) < 1 {
 		return nil
@@ -62,6 +86,7 @@
 	worst := rankAbsent // how far from its image a machine may be
 	var best *option
 	for _, m := range v.Machines {
+		v.Looked++
 		if keep, kept := v.Withheld[m.ID]; kept && keep == j.ID {
 			return nil // one is being emptied already
 		}
@@ -77,7 +102,11 @@
 			worst = rankCached
 			continue
 		}
-		list := slices.DeleteFunc(v.Victims(m), func(x Victim) bool {
+		all := v.victimsOn(m)
+		if len(all) == 0 {
+			continue
+		}
+		list := slices.DeleteFunc(slices.Clone(all), func(x Victim) bool {
 			return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
 		})
 		slices.SortStableFunc(list, func(a, b Victim) int { return cmp.Compare(loss(&a), loss(&b)) })
--- /dev/null
+++ b/internal/place/scale_test.go
@@ -0,0 +1,95 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"maddermill/internal/fleet"
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/wire"
+)
+
+// crowd is a deployment where all machines but a few are full and every job waits.
+func crowd(t *testing.T, machines, waiting int) (*place.View, *ledger.Ledger) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000})
+	v := &place.View{Now: start, TeamRoom: l.TeamRoom, Limits: place.Limits{ColdStarts: 1 << 20, FetchMark: 60e9, DeferCold: 9e9},
+		Victims: func(*place.Machine) []place.Victim { return nil }}
+	for i := range waiting {
+		s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: "t", Shape: wire.Array, Priority: wire.Normal,
+			Tasks: 1 + rng.IntN(30), CPUs: 1, GPUs: 1, Image: wire.Image(fmt.Sprint("i", i%40)), ImageGB: 5, Spot: true}
+		if i%2 == 0 {
+			s.Shape, s.Priority, s.Tasks, s.GPUs = wire.Gang, wire.High, 2<<rng.IntN(3), 2
+		}
+		d := l.NewDraft()
+		if err := d.Submit(s, wire.UnixMillis(i)); err != nil {
+			t.Fatal(err)
+		}
+		txn, _ := d.Txn()
+		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: wire.Revision(i + 1)})
+		v.Queue = append(v.Queue, place.Entry{Job: l.Job(s.ID), StartBy: start.Add(1e9)})
+	}
+	place.Order(v.Queue)
+	for i := range machines {
+		m := &place.Machine{ID: wire.MachineID(fmt.Sprintf("host-%06d", i)), Type: "g", Zone: []wire.Zone{"a", "b", "c"}[i%3], Usable: true,
+			Total: ledger.NewResources(8, 2, 16), Images: place.NewImages(100), FetchGB: 1, Spot: i%2 == 0}
+		for range 6 {
+			m.Images.Used(wire.Image(fmt.Sprint("i", rng.IntN(40))), 5)
+		}
+		if i%100 == 0 {
+			m.Free = m.Total
+		}
+		v.Machines = append(v.Machines, m)
+	}
+	return v, l
+}
+
+// TestCostFollowsWhatChanges: at a thousand machines and as many jobs, a report of a
+// full machine costs nothing, one with room a look at what may take it, and the
+// leader's passes look at the machines with room and not at all of them for each job.
+// Counts are compared, not times. A walk of every machine for every report or of
+// every machine for every job once took a controller's whole quota.
+func TestCostFollowsWhatChanges(t *testing.T) {
+	const machines, waiting = 1000, 1000
+	v, l := crowd(t, machines, waiting)
+	looked := func(f func()) int {
+		before := v.Looked
+		f()
+		return v.Looked - before
+	}
+	place.OnRoom(v, v.Machines[100]) // makes the indexes
+	full, roomy := 0, 0
+	for _, m := range v.Machines {
+		free := m.Free
+		n := looked(func() { place.OnRoom(v, v.Put(m)) })
+		if free == m.Total {
+			roomy += n
+		} else {
+			full += n
+		}
+	}
+	if full != 0 {
+		t.Errorf("reports of full machines looked at %d entries and machines", full)
+	}
+	if most := machines / 100 * 4 * waiting; roomy == 0 || roomy > most {
+		t.Errorf("%d reports with room looked at %d, more than %d", machines/100, roomy, most)
+	}
+	if n := looked(func() { place.Gangs(v) }); n > waiting+machines+waiting*machines/100 {
+		t.Errorf("placing gangs looked at %d", n)
+	}
+	in := &fleet.Input{Now: start, TeamRoom: l.TeamRoom, Queue: v.Queue, Refused: func(fleet.Option) bool { return true },
+		Flavors: map[wire.MachineSKU]wire.Flavor{"g": {Name: "g", CPUs: 8, GPUs: 2, MemoryGB: 16, Price: 1, Boot: 60, Zones: []wire.Zone{"a"}}}}
+	for i, m := range v.Machines {
+		u := fleet.Unit{ID: m.ID, Type: m.Type, Zone: m.Zone, Usable: true, Total: m.Total}
+		if i%100 != 0 {
+			u.Busy = []place.Busy{{Until: start.Add(3600e9), Room: m.Total}}
+		}
+		in.Units = append(in.Units, u)
+	}
+	fleet.Make(in)
+	if most := waiting * machines / 100; in.Looked == 0 || in.Looked > most {
+		t.Errorf("a plan looked at %d machines, more than %d", in.Looked, most)
+	}
+}
