Conflicting batches are drafted anew, unused changes are shared, gangs placed apart from the cloud

Causes, by reading: a conflict on one team's record dropped every start of the batch; each controller kept to an equal share of changes while the others left theirs unused; the leader placed gangs between calls to the cloud, which is limited and at times out; single tasks took the room that a waiting gang could have started in.

--- a/cmd/maddermill/serve.go
+++ b/cmd/maddermill/serve.go
@@ -74,11 +74,10 @@
 		return err
 	}
 	defer dialer.Stop()
-	count := float64(set.Cluster.Count)
 	store := state.NewClient(
 		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 8, MaxBody: held},
 		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 1, MaxBody: held},
-		set.Cluster.State.RPS*0.95/count, set.Cluster.State.WriteRPS*0.95/count, set.Cluster.State.TxnOps)
+		set.Cluster.State.RPS, set.Cluster.State.WriteRPS, set.Cluster.Count, set.Cluster.State.TxnOps)
 	core := controller.New(set, store, log)
 	cl := cloud.NewClient(&http1.Client{Dialer: dialer, Addr: set.Outside.Cloud, MaxIdle: 1, MaxBody: 4 << 20}, set.Cluster.Cloud.RPS)
 
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -14,7 +14,7 @@
 // times, each time over a newer ledger.
 type change struct {
 	draft func(*ledger.Draft) error
-	drop  bool // a start: dropped on conflict rather than tried again
+	drop  bool // a start: given up after until
 	until time.Time
 	done  chan error // gets one value
 }
@@ -31,10 +31,11 @@
 	}
 }
 
-// batchEvery is how long changes of reports are gathered.
+// batchEvery is how long changes of reports are gathered: about as long as this
+// controller's share of changes takes to grow by one.
 func (c *Core) batchEvery() time.Duration {
-	perSecond := c.set.Cluster.State.WriteRPS / float64(c.set.Cluster.Count) / 3
-	return time.Duration(float64(time.Second) / min(10, max(1, perSecond)))
+	perSecond := c.set.Cluster.State.WriteRPS / float64(c.set.Cluster.Count)
+	return time.Duration(float64(time.Second) / min(10, max(2, perSecond)))
 }
 
 // writeBatches commits what reports and duties ask for, gathered into one
@@ -122,14 +123,10 @@
 		c.log.Debug("batch failed", "changes", len(txn.Then), "err", err)
 		sleep(ctx, 100*time.Millisecond)
 	}
-	for _, ch := range in {
-		if ch.drop && conflict != nil {
-			ch.done <- errDropped
-		} else {
-			left = append(left, ch)
-		}
-	}
-	return left
+	// After a conflict all of the batch is drafted anew over the newer ledger: what
+	// no longer holds is refused there, and the rest is not lost to a neighbour in
+	// the batch. Starts of a capped team conflict with each other all the time.
+	return append(in, left...)
 }
 
 // commit runs a transaction and waits until the ledger shows its outcome.
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -93,7 +93,17 @@
 	}()
 	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
 		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
-	defer l.forgetPlacing()
+	// Gangs must not wait for the cloud, which is slow, limited, and at times out.
+	placing := make(chan struct{})
+	go func() {
+		defer close(placing)
+		for ctx.Err() == nil {
+			l.placeGangs(time.Now())
+			sleep(ctx, 300*time.Millisecond)
+		}
+		l.forgetPlacing()
+	}()
+	defer func() { cancel(nil); <-placing }()
 	for ctx.Err() == nil {
 		if err := l.step(ctx); err != nil && ctx.Err() == nil {
 			c.log.Debug("fleet step", "err", err)
@@ -154,7 +164,6 @@
 	if err := l.finishReturns(ctx); err != nil {
 		return err
 	}
-	l.placeGangs(time.Now())
 	return l.plan(ctx, time.Now())
 }
 
@@ -374,12 +383,14 @@
 	}
 }
 
-// placeGangs places the gangs of several tasks, over all machines at once.
+// placeGangs places the gangs of several tasks over all machines.
 func (l *leader) placeGangs(now time.Time) {
 	c := l.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.contact) > startContact || now.Sub(l.began) < 2*c.set.Cluster.Workers.Report.Duration() {
+	// After the start of a controller, and often of all of them, workers have yet to
+	// find one each; a gang placed before would be placed on a few of the machines.
+	if settled := c.set.Cluster.Workers.Report.Duration()*5/4 + time.Second; now.Sub(c.contact) > startContact || now.Sub(c.boot) < settled {
 		return
 	}
 	for id, g := range l.placing {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -365,12 +365,16 @@
 		if c.workers[w.ID] != w || w.Session != site.Session || w.Hold != site.Token {
 			return ledger.ErrStale
 		}
+		// A gang may have been placed there meanwhile; what does not fit any more
+		// would be refused by the worker.
+		free := c.machineOf(w, time.Now()).Free
 		err := ledger.ErrStale
 		for _, s := range starts {
 			j := c.led.Job(s.Job.ID)
-			if j == nil {
+			if j == nil || free.Times(j.Need, s.Count) < s.Count {
 				continue
 			}
+			free = free.Add(j.Need, -s.Count)
 			var er error
 			if j.Spec.Shape == wire.Gang {
 				er = d.ClaimGang(j, []ledger.Placed{{Site: site, Count: s.Count}})
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -158,10 +158,16 @@
 	}
 	for _, e := range queue {
 		j := e.Job
+		if j.Spec.Shape == wire.Gang && j.Spec.Tasks-j.Done > 1 {
+			for range v.Reserved[m.ID][j.ID] {
+				free = free.Add(j.Need, -1)
+			}
+			continue
+		}
 		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
 			continue
 		}
-		if j.Spec.Shape == wire.Gang && j.Spec.Tasks-j.Done > 1 || v.Now.Before(e.Retry) {
+		if v.Now.Before(e.Retry) {
 			continue
 		}
 		for {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -215,6 +215,8 @@
 	Cold     int        // fetches in flight at this controller's machines
 	Withheld map[wire.MachineID]wire.JobID
 	Victims  func(*Machine) []Victim // what may be stopped there; nil: nothing
+	// Reserved is the room that gangs will be given in a moment, in tasks.
+	Reserved map[wire.MachineID]map[wire.JobID]int
 
 	// Looked counts the entries and machines that decisions have looked at.
 	Looked int
@@ -315,7 +317,13 @@
 		v.Looked++
 		e := &queue[i]
 		j := e.Job
-		if !v.open(e, m) || parts(j) > 1 {
+		if parts(j) > 1 {
+			if n := v.Reserved[m.ID][j.ID]; n > 0 && startsWhole(e) {
+				free = free.Add(j.Need, -n)
+			}
+			continue
+		}
+		if !v.open(e, m) {
 			continue
 		}
 		n := min(free.Times(j.Need, e.pending()), j.ZoneRoom(m.Zone))
@@ -445,12 +453,13 @@
 	var out []GangStart
 	var roomy []*Machine // with room for a task of the least of the gangs
 	taken := map[wire.Team]ledger.Resources{}
+	fetches := map[wire.MachineID]wire.Image{} // that this pass begins
 	for i := range v.Queue {
 		v.Looked++
 		e := &v.Queue[i]
 		j := e.Job
-		if parts(j) < 2 || j.Claimed > 0 || e.pending() < parts(j) || v.Now.Before(e.Retry) {
-			continue // the rest of a gang waits until all of it is off its machines
+		if parts(j) < 2 || !startsWhole(e) || v.Now.Before(e.Retry) {
+			continue
 		}
 		if need := parts(j); v.TeamRoom(j, taken[j.Spec.Team], need) < need {
 			continue
@@ -458,7 +467,7 @@
 		if roomy == nil {
 			roomy = v.roomyForGangs()
 		}
-		placed := v.gang(e, roomy)
+		placed := v.gang(e, roomy, fetches)
 		if placed == nil {
 			continue
 		}
@@ -467,7 +476,7 @@
 			m := v.Machine(p.Site.Machine)
 			m.Free = m.Free.Add(j.Need, -p.Count)
 			if m.Images.rank(j.Spec.Image) == rankAbsent {
-				m.Images.Fetching(j.Spec.Image, v.Now)
+				fetches[m.ID] = j.Spec.Image
 			}
 		}
 		out = append(out, GangStart{e, placed})
@@ -475,6 +484,32 @@
 	return out
 }
 
+// startsWhole reports whether all of a gang's unfinished tasks wait: while an earlier
+// attempt is still on its machines they can't.
+func startsWhole(e *Entry) bool { return e.Job.Claimed == 0 && e.pending() == parts(e.Job) }
+
+// Reserve notes where the gangs that there is room for now will be placed. Without
+// it lower jobs take that room task by task, with the first report, and a gang finds
+// none until many machines happen to be free at once.
+func (v *View) Reserve() {
+	free := make(map[wire.MachineID]ledger.Resources, len(v.Machines))
+	v.Reserved = map[wire.MachineID]map[wire.JobID]int{}
+	for _, g := range Gangs(v) {
+		for _, p := range g.Parts {
+			m := v.Machine(p.Site.Machine)
+			free[m.ID] = free[m.ID].Add(g.Entry.Job.Need, p.Count)
+			if v.Reserved[m.ID] == nil {
+				v.Reserved[m.ID] = map[wire.JobID]int{}
+			}
+			v.Reserved[m.ID][g.Entry.Job.ID] += p.Count
+		}
+	}
+	for id, r := range free {
+		m := v.Machine(id)
+		m.Free = m.Free.Add(r, 1)
+	}
+}
+
 // roomyForGangs lists the usable machines with room for a task of some gang that
 // waits, so that each gang only looks at those.
 func (v *View) roomyForGangs() []*Machine {
@@ -504,7 +539,7 @@
 // having the image decides when: of the zones that it may be in, the one goes first
 // where that one is nearest. Machines nearest to the image go first, among them cheap
 // ones, which not all work may use, and then those that the gang fills best.
-func (v *View) gang(e *Entry, roomy []*Machine) []ledger.Placed {
+func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) []ledger.Placed {
 	j := e.Job
 	need := parts(j)
 	type option struct {
@@ -523,8 +558,10 @@
 		}
 		free := m.Free.Add(j.Need, -room)
 		o := option{m, room, m.Images.rank(j.Spec.Image), free.GPU + free.CPU}
-		if o.rank == rankAbsent && len(m.Images.fetching) > 0 {
-			o.rank = rankBusy
+		if begun, also := fetches[m.ID]; o.rank == rankAbsent && (also || len(m.Images.fetching) > 0) {
+			if o.rank = rankBusy; begun == j.Spec.Image {
+				o.rank = rankUnderway
+			}
 		}
 		zone := m.Zone
 		if !j.Spec.OneZone {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -64,7 +64,7 @@
 // TestPathAgainstModel compares the placement path with the plain model on
 // random queues and machines.
 func TestPathAgainstModel(t *testing.T) {
-	nonEmpty := 0
+	nonEmpty, reserved := 0, 0
 	for seed := uint64(1); seed <= 3000; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000,
@@ -78,6 +78,10 @@
 		if rng.IntN(3) == 0 {
 			v.Withheld[v.Machines[rng.IntN(3)].ID] = v.Queue[0].Job.ID
 		}
+		v.Reserve()
+		if len(v.Reserved) > 0 {
+			reserved++
+		}
 		m := v.Machines[0]
 		want := model.OnRoom(v, m)
 		got := map[wire.JobID]int{}
@@ -91,8 +95,8 @@
 			nonEmpty++
 		}
 	}
-	if nonEmpty < 500 {
-		t.Errorf("only %d of 3000 cases place anything", nonEmpty)
+	if nonEmpty < 500 || reserved < 200 {
+		t.Errorf("only %d of 3000 cases place anything, %d reserve", nonEmpty, reserved)
 	}
 }
 
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -26,6 +26,8 @@
 	ErrTooOld   = errors.New("state: revision too old to watch from")
 	ErrNoLease  = errors.New("state: no such lease")
 	ErrInvalid  = errors.New("state: request not accepted")
+
+	errBusy = errors.New("state: over its limits")
 )
 
 // Conflict is a transaction whose conditions did not hold.
@@ -55,21 +57,45 @@
 	http     *http1.Client
 	watch    *http1.Client
 	requests *rate.Limiter
-	changes  *rate.Limiter
+	changes  *budget
+}
+
+// budget is how many changes a second one controller may make. Its fair share is
+// always its own. What the others leave unused it finds out by asking for a little
+// more after each success; a refusal takes it back to half, or to its share.
+type budget struct {
+	*rate.Limiter
+	share, most rate.Limit
+}
+
+func newBudget(total float64, count, burst int) *budget {
+	share, most := rate.Limit(total/float64(count)), rate.Limit(total*mostChanges)
+	return &budget{rate.NewLimiter(share, burst), share, max(share, most)}
 }
 
+// mostChanges is how much of all changes one controller may come to make.
+const mostChanges = 0.5
+
+func (b *budget) granted(n int) { b.SetLimit(min(b.most, b.Limit()+b.share/20*rate.Limit(n))) }
+func (b *budget) refused()      { b.SetLimit(max(b.share, b.Limit()/2)) }
+
 // requestTimeout is how long an answer is waited for. Usual answers take under
 // 10 ms, slow ones some hundred.
 const requestTimeout = 1500 * time.Millisecond
 
-// NewClient returns a client that keeps to its share of the budgets.
-func NewClient(short, long *http1.Client, requestRate, changeRate float64, txnOps int) *Client {
-	burst := max(txnOps, int(math.Ceil(changeRate)))
+// NewClient returns the client of one of count controllers that share the service's
+// limits of requests and changes a second.
+func NewClient(short, long *http1.Client, requestRate, changeRate float64, count, txnOps int) *Client {
+	requestRate, changeRate = requestRate*headroom, changeRate*headroom
+	share := requestRate / float64(count)
 	return &Client{http: short, watch: long,
-		requests: rate.NewLimiter(rate.Limit(requestRate), max(1, int(requestRate/2))),
-		changes:  rate.NewLimiter(rate.Limit(changeRate), burst)}
+		requests: rate.NewLimiter(rate.Limit(share), max(1, int(share/2))),
+		changes:  newBudget(changeRate, count, max(txnOps, int(math.Ceil(changeRate/float64(count)))))}
 }
 
+// headroom is the part of the service's limits that is used.
+const headroom = 0.95
+
 func (c *Client) do(ctx context.Context, method, path, query string, body any) (*http1.Response, error) {
 	if err := c.requests.Wait(ctx); err != nil {
 		return nil, errors.Join(ErrRefused, err)
@@ -94,7 +120,9 @@
 		return nil, errors.Join(ErrRefused, err)
 	case err != nil:
 		return nil, errors.Join(ErrUnknown, err)
-	case p.Status == 429 || p.Status == 503:
+	case p.Status == 429:
+		return nil, errors.Join(ErrRefused, errBusy)
+	case p.Status == 503:
 		return nil, ErrRefused
 	}
 	return p, nil
@@ -164,9 +192,13 @@
 		t.Then = []wire.Change{}
 	}
 	p, err := c.do(ctx, "POST", "/multi", "", t)
+	if errors.Is(err, errBusy) {
+		c.changes.refused()
+	}
 	if err != nil {
 		return 0, err
 	}
+	c.changes.granted(len(t.Then))
 	switch p.Status {
 	case 200, 409:
 		r, err := decode[wire.TxnResult](p)
