Cold starts: one a machine is the only cap unless operators set one

A controller holding a hundred cold machines let sixteen of them fetch at once, and a fetch takes half a minute; the machines do not share a rate.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,7 +90,7 @@
 
 // Operators is the operators' part, defaults filled in.
 type Operators struct {
-	ColdStarts    int
+	ColdStarts    int // 0: one a machine
 	FetchMark     time.Duration
 	WithholdAfter time.Duration
 	Preempt       bool
@@ -236,7 +236,7 @@
 		u = new(operatorspb.Users)
 	}
 	o := Operators{
-		ColdStarts:    int(or(p.ColdStarts, 16)),
+		ColdStarts:    int(or(p.ColdStarts, 0)),
 		FetchMark:     wire.Seconds(or(p.FetchMarkS, 60)).Duration(),
 		WithholdAfter: wire.Seconds(or(p.WithholdAfterS, 5)).Duration(),
 		Preempt:       or(p.Preempt, true),
@@ -247,10 +247,10 @@
 		Headroom:      or(f.Headroom, 0),
 		RetryAfter:    wire.Seconds(or(u.RetryAfterS, 1)).Duration(),
 	}
-	var errs []error
-	if o.ColdStarts < 1 {
-		errs = append(errs, errors.New("placement.cold_starts: must be at least 1"))
+	if o.ColdStarts == 0 {
+		o.ColdStarts = math.MaxInt
 	}
+	var errs []error
 	if o.FetchMark <= 0 {
 		errs = append(errs, errors.New("placement.fetch_mark_s: must be above 0"))
 	}
