Batches no larger than the budget of changes has room for

A batch was drafted to the size of a transaction, waited for more changes than the budget gives within a commit's time, was given up, and was drafted anew until its starts had expired; users' submissions queued behind it. The same marks and releases were also asked for again at each step while on their way.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -38,6 +38,9 @@
 	return time.Duration(float64(time.Second) / min(10, max(2, perSecond)))
 }
 
+// changesForUsers is what batches leave of the budget for users' requests.
+const changesForUsers = 2
+
 // writeBatches commits what reports and duties ask for, gathered into one
 // transaction at a time.
 func (c *Core) writeBatches(ctx context.Context) error {
@@ -72,10 +75,17 @@
 	}
 }
 
-// writeBatch commits as many changes as fit and returns those left.
+// writeBatch commits as many changes as fit and returns those left. A batch larger
+// than what the budget has left would wait for it, be given up, and be drafted anew
+// for ever; one that leaves nothing would keep users waiting.
 func (c *Core) writeBatch(ctx context.Context, queue []*change) []*change {
+	changes := c.store.Changes() - changesForUsers
+	if changes < 2 {
+		sleep(ctx, c.batchEvery())
+		changes = max(2, c.store.Changes()-changesForUsers)
+	}
 	c.mu.Lock()
-	d := c.led.NewDraft()
+	d := c.led.NewDraftOf(changes)
 	var in, left []*change
 	now := time.Now()
 	full := false
@@ -98,6 +108,16 @@
 			ch.done <- err
 		}
 	}
+	if full && len(in) == 0 {
+		// The first alone is more than the budget has room for: let it wait.
+		d = c.led.NewDraft()
+		if err := left[0].draft(d); err == nil {
+			in, left = left[:1:1], left[1:]
+		} else if !errors.Is(err, ledger.ErrFull) {
+			left[0].done <- err
+			left = left[1:]
+		}
+	}
 	txn, err := d.Txn()
 	c.mu.Unlock()
 	if len(txn.Then) == 0 {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -92,7 +92,7 @@
 		}
 	}()
 	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
-		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
+		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
 	// Gangs must not wait for the cloud, which is slow, limited, and at times out.
 	placing := make(chan struct{})
 	go func() {
@@ -123,6 +123,11 @@
 	idle   time.Time
 }
 
+type markKey struct {
+	machine wire.MachineID
+	mark    ledger.MachineMark
+}
+
 // gangStart is a gang's start on its way to the ledger.
 type gangStart struct {
 	change *change
@@ -131,17 +136,18 @@
 
 // leader is the state of one term. A new one starts from the cloud's list.
 type leader struct {
-	c       *Core
-	cloud   Cloud
-	version wire.Revision
-	token   wire.Token
-	began   time.Time
-	hires   int
-	units   map[wire.MachineID]*unit
-	placing map[wire.JobID]gangStart   // decided, and not yet known to be in the ledger
-	refused map[fleet.Option]time.Time // no capacity until
-	flavors map[wire.MachineSKU]wire.Flavor
-	settled time.Time // since when silence of machines counts
+	c        *Core
+	cloud    Cloud
+	version  wire.Revision
+	token    wire.Token
+	began    time.Time
+	hires    int
+	units    map[wire.MachineID]*unit
+	placing  map[wire.JobID]gangStart     // decided, and not yet known to be in the ledger
+	refused  map[fleet.Option]time.Time   // no capacity until
+	released map[wire.MachineID]time.Time // when its claims were asked to be released
+	flavors  map[wire.MachineSKU]wire.Flavor
+	settled  time.Time // since when silence of machines counts
 
 	flavorsAt, listAt time.Time
 	listed            bool
@@ -310,16 +316,18 @@
 	}
 }
 
-func (l *leader) setMark(id wire.MachineID, mark ledger.MachineMark, why string) *change {
+func (l *leader) setMark(id wire.MachineID, mark ledger.MachineMark, why string) {
+	key := markKey{id, mark}
+	if ch := l.marking[key]; ch != nil && len(ch.done) == 0 {
+		return // on its way
+	}
 	l.c.log.Info("machine leaves", "machine", id, "mark", mark, "why", why)
 	ch := &change{draft: func(d *ledger.Draft) error { return d.SetMark(id, mark, why, l.version) }}
 	if _, v := l.c.led.Leader(); v != l.version {
-		ch.done = make(chan error, 1)
-		ch.done <- ledger.ErrStale
-		return ch
+		return // another leads
 	}
 	l.c.enqueue(ch)
-	return ch
+	l.marking[key] = ch
 }
 
 // finishReturns moves marked machines on: an empty draining one leaves; a
@@ -344,6 +352,9 @@
 	for id := range l.units {
 		if c.led.Mark(id) == ledger.Gone {
 			delete(l.units, id)
+			for _, m := range []ledger.MachineMark{ledger.Draining, ledger.Leaving, ledger.Gone} {
+				delete(l.marking, markKey{id, m})
+			}
 		}
 	}
 	c.mu.Unlock()
@@ -361,10 +372,18 @@
 	return nil
 }
 
+// releaseAgain is after what time claims that are still there are released again.
+const releaseAgain = 3 * time.Second
+
 // releaseAll releases the claims on a machine that the cloud has confirmed to
 // be gone.
 func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
 	c := l.c
+	if now := time.Now(); now.Sub(l.released[id]) < releaseAgain {
+		return // on its way
+	} else {
+		l.released[id] = now
+	}
 	var exits []workers.Exit
 	for _, h := range held {
 		for i := range h.Count {
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -34,6 +34,7 @@
 	puts  map[string]any
 	order []string
 	sizes map[string]int // of the values, once known; what is written anew is measured anew
+	most  int            // changes
 }
 
 type draftJob struct {
@@ -46,8 +47,11 @@
 }
 
 // NewDraft starts an empty transaction.
-func (l *Ledger) NewDraft() *Draft {
-	return &Draft{l: l, jobs: map[wire.JobID]*draftJob{}, marks: map[wire.MachineID]MachineMark{},
+func (l *Ledger) NewDraft() *Draft { return l.NewDraftOf(l.limits.TxnOps) }
+
+// NewDraftOf starts an empty transaction of at most so many changes.
+func (l *Ledger) NewDraftOf(changes int) *Draft {
+	return &Draft{l: l, most: min(changes, l.limits.TxnOps), jobs: map[wire.JobID]*draftJob{}, marks: map[wire.MachineID]MachineMark{},
 		usage: map[wire.Team]Resources{}, conds: map[string]wire.Revision{}, puts: map[string]any{}, sizes: map[string]int{}}
 }
 
@@ -151,6 +155,9 @@
 		}
 		return ErrFull
 	}
+	if len(d.puts) > d.most {
+		return ErrFull
+	}
 	total := 64 * len(d.conds)
 	for key, v := range d.puts {
 		size, known := d.sizes[key]
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -282,6 +283,9 @@
 	return l.Store.Apply(t)
 }
 
+// Changes is without bound: the stand-in has no budget.
+func (l *Link) Changes() int { return math.MaxInt }
+
 // Watch implements state.Store.
 func (l *Link) Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error) {
 	end := time.After(wait)
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -44,6 +44,7 @@
 	Get(ctx context.Context, key string) (wire.Item, error)
 	List(ctx context.Context, prefix, after string, limit int) (wire.ItemPage, error)
 	Commit(ctx context.Context, t wire.Txn) (wire.Revision, error)
+	Changes() int // how many a transaction may have without waiting for the budget
 	Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error)
 	Grant(ctx context.Context, ttl time.Duration) (wire.LeaseID, error)
 	Renew(ctx context.Context, id wire.LeaseID) error
@@ -214,6 +215,9 @@
 	return 0, unexpected(p)
 }
 
+// Changes is how many changes the budget has room for now.
+func (c *Client) Changes() int { return int(c.changes.Tokens()) }
+
 // Watch waits for changes after a revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error) {
 	if err := c.requests.Wait(ctx); err != nil {
