--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -143,6 +143,7 @@
 	began    time.Time
 	hires    int
 	units    map[wire.MachineID]*unit
+	marking  map[markKey]*change          // asked for, perhaps not yet in the ledger
 	placing  map[wire.JobID]gangStart     // decided, and not yet known to be in the ledger
 	refused  map[fleet.Option]time.Time   // no capacity until
 	released map[wire.MachineID]time.Time // when its claims were asked to be released
