--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -116,6 +116,8 @@
 				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
 			case h.Session > r.Session:
 				// The report is from before the claim's session.
+			case t != nil && w.rejoins(h, t):
+				// It is sent again under its claim.
 			case t != nil && t.State == wire.TaskExited:
 				e := Exit{Held: h, Task: task, Cause: t.Cause, Saved: t.Saved}
 				if since, ok := w.since[id]; ok {
@@ -147,6 +149,14 @@
 	return f
 }
 
+// rejoins reports whether a gang's task that gave up waiting for the others is to
+// wait on under the same attempt. Otherwise a gang of which some machines have to
+// fetch its image for longer than a task waits would be stopped, fetches and all,
+// and begin anew for ever.
+func (w *Worker) rejoins(h ledger.Held, t *wire.TaskReport) bool {
+	return t.State == wire.TaskExited && t.Cause == wire.CauseAlone && w.Fresh && h.Token == w.Hold && w.wanted(h)
+}
+
 // wanted reports whether a claim's tasks should be on the machine.
 func (w *Worker) wanted(h ledger.Held) bool {
 	return h.Job.State == ledger.Active && (h.Job.Spec.Shape != wire.Gang || h.Job.Stop < h.Attempt)
@@ -181,6 +191,10 @@
 			delete(claims, id)
 		}
 		switch {
+		case claimed && mayStart && w.Recall.IsZero() && w.rejoins(h, t):
+			w.sent[id] = r.Tally
+			cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt},
+				wire.Command{Op: wire.OpStart, Task: t.Task, Attempt: t.Attempt})
 		case t.State == wire.TaskExited:
 			// Without a claim its end is on record, if the ledger is at least as
 			// new as our token; only a worker that has accepted the token can
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -99,6 +100,42 @@
 	}
 }
 
+// TestRejoin: a gang's task that gave up waiting is started again under its claim and
+// attempt, so that the others' fetches are not thrown away; not so when the gang is to
+// stop, or while a cancellation may have been missed.
+func TestRejoin(t *testing.T) {
+	alone := task(wire.TaskExited, 3)
+	alone.Cause = wire.CauseAlone
+	for _, tc := range []struct {
+		name     string
+		stop     wire.Attempt
+		state    ledger.JobState
+		token    wire.Token
+		mayStart bool
+		exits    int
+		ops      []wire.Op
+	}{
+		{"waits on", 0, "", hold, true, 0, []wire.Op{wire.OpForget, wire.OpStart}},
+		{"out of touch", 0, "", hold, false, 0, nil},
+		{"the gang is to stop", 3, "", hold, true, 1, nil},
+		{"cancelled", 0, ledger.Cancelled, hold, true, 1, nil},
+		{"claimed under another token", 0, "", 5, true, 1, nil},
+	} {
+		h := held(1, tc.token, tc.state)
+		h[0].Job.Spec.Shape, h[0].Job.Spec.Tasks, h[0].Job.Stop = wire.Gang, 2, tc.stop
+		r := report(1, 9, hold, alone)
+		w := NewWorker(r, time.Time{})
+		f := w.Take(r, h, hold, time.Time{})
+		var ops []wire.Op
+		for _, cmd := range w.Commands(r, h, tc.mayStart) {
+			ops = append(ops, cmd.Op)
+		}
+		if len(f.Exits) != tc.exits || !slices.Equal(ops, tc.ops) {
+			t.Errorf("%s: %d exits and %v, want %d and %v", tc.name, len(f.Exits), ops, tc.exits, tc.ops)
+		}
+	}
+}
+
 func TestStaleReports(t *testing.T) {
 	w := NewWorker(report(2, 5, 0), time.Time{})
 	w.Take(report(2, 5, 0), nil, hold, time.Time{})
