--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -45,6 +45,7 @@
 	workers  map[wire.MachineID]*workers.Worker
 	images   map[wire.MachineID]*imageState
 	peers    map[wire.MemberID]*peer
+	told     map[wire.MemberID]time.Time // when peers last asked over the mesh
 	jobs     map[wire.JobID]*jobNotes
 	classes  classSums
 	claimed  map[claimKey]time.Time // when a claim was first seen
@@ -91,7 +92,7 @@
 func New(set *settings.Settings, store state.Store, log *slog.Logger) *Core {
 	c := &Core{set: set, store: store, log: log, Stats: metrics.New(), boot: time.Now(),
 		advanced: make(chan struct{}), workers: map[wire.MachineID]*workers.Worker{},
-		images: map[wire.MachineID]*imageState{}, peers: map[wire.MemberID]*peer{},
+		images: map[wire.MachineID]*imageState{}, peers: map[wire.MemberID]*peer{}, told: map[wire.MemberID]time.Time{},
 		jobs: map[wire.JobID]*jobNotes{}, classes: classSums{}, claimed: map[claimKey]time.Time{}, withheld: map[wire.MachineID]wire.JobID{}, making: map[wire.MachineID]room{},
 		barriers: make(chan *barrier, 1), wantToken: make(chan wire.Token, 1),
 		submitted: make(chan *change, 4096), userCommit: make(chan struct{}, 32)}
@@ -412,6 +413,14 @@
 	return true
 }
 
+// statusFor answers a peer that asks over the mesh.
+func (c *Core) statusFor(peer wire.MemberID) mesh.Status {
+	c.mu.Lock()
+	c.told[peer] = time.Now()
+	c.mu.Unlock()
+	return c.status()
+}
+
 // status is what this controller tells its peers.
 func (c *Core) status() mesh.Status {
 	c.mu.Lock()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -13,6 +13,7 @@
 	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
 	"maddermill/internal/place"
+	"maddermill/internal/settings"
 	"maddermill/internal/state"
 	"maddermill/internal/workers"
 	"maddermill/wire"
@@ -543,12 +544,20 @@
 	return ctx.Err()
 }
 
+// publishEvery is how often a picture is published, if it must be.
+const publishEvery = 5 * time.Second
+
 // publish writes this controller's picture to the state service every few
-// seconds, for peers that the mesh does not reach.
+// seconds while there are peers that the mesh does not reach. Changes are scarce.
 func (c *Core) publish(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, 5*time.Second)
-		if !c.isLoaded() {
+		sleep(ctx, publishEvery)
+		c.mu.Lock()
+		needed := c.loaded && slices.ContainsFunc(c.set.Peers, func(p settings.Peer) bool {
+			return time.Since(c.told[p.Member]) > publishEvery
+		})
+		c.mu.Unlock()
+		if !needed {
 			continue
 		}
 		s := c.status()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -16,7 +16,7 @@
 	g.Go(func() error { return c.duties(ctx, cl) })
 	g.Go(func() error {
 		return transport.Serve(ctx, c.set.MeshAddr, 8*len(c.set.Peers)+16, func(_ context.Context, conn *transport.Conn) {
-			mesh.Serve(conn, c.status)
+			mesh.Serve(conn, c.statusFor)
 		})
 	})
 	for _, p := range c.set.Peers {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -67,8 +67,8 @@
 	Asked  time.Time
 }
 
-// Serve answers one connection with the status that describe gives.
-func Serve(c *transport.Conn, describe func() Status) {
+// Serve answers one connection with the status that describe gives a peer.
+func Serve(c *transport.Conn, describe func(wire.MemberID) Status) {
 	r := bufio.NewReader(c)
 	for {
 		c.SetReadDeadline(time.Now().Add(30 * time.Second))
@@ -76,7 +76,7 @@
 		if err := read(r, &ask); err != nil {
 			return
 		}
-		if err := write(c, describe()); err != nil {
+		if err := write(c, describe(ask.Member)); err != nil {
 			return
 		}
 	}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -129,97 +129,127 @@
 
 // OnRoom is the design's placement path, one task at a time, without shortcuts:
 // walk the jobs in order; of each, place task after task that has its image
-// cached here, or being fetched here, or may be fetched here.
+// cached here, or being fetched here. Of the jobs of one priority and standing,
+// what may then be fetched here comes after what needs no fetch.
 func OnRoom(v *place.View, m *place.Machine) map[wire.JobID]int {
 	given := map[wire.JobID]int{}
 	if !m.Usable {
 		return given
 	}
-	fetching := map[wire.Image]bool{}
 	underWay := m.Images.Fetches(v.Now, v.Limits.FetchMark)
 	free, cold := m.Free, v.Cold
 	taken := map[wire.Team]ledger.Resources{}
 	before := map[wire.Image]int{} // tasks passed over
-	queue := v.Queue
-	if !m.Spot {
-		// Work that may run nowhere else goes first among its like.
-		queue = nil
-		for rank := range 4 {
-			for _, beyond := range []bool{false, true} {
-				for _, spot := range []bool{false, true} {
-					for _, e := range v.Queue {
-						if s := e.Job.Spec; s.Priority.Rank() == rank && e.Beyond == beyond && s.Spot == spot {
-							queue = append(queue, e)
-						}
-					}
-				}
-			}
+	left := func(e *place.Entry) int {
+		n := e.Job.Pending() - given[e.Job.ID]
+		if e.Taken != nil {
+			n -= *e.Taken
 		}
+		return n
 	}
-	for _, e := range queue {
+	takes := func(e *place.Entry) bool {
 		j := e.Job
-		if j.Spec.Shape == wire.Gang && j.Spec.Tasks-j.Done > 1 {
-			for range v.Reserved[m.ID][j.ID] {
-				free = free.Add(j.Need, -1)
-			}
-			continue
-		}
-		if keep, ok := v.Withheld[m.ID]; ok && keep != j.ID {
-			continue
-		}
-		if v.Now.Before(e.Retry) {
-			continue
-		}
-		for {
-			left := j.Pending() - given[j.ID]
-			if e.Taken != nil {
-				left -= *e.Taken
-			}
-			if left <= 0 || !free.Fits(j.Need) || j.ZoneRoom(m.Zone) <= given[j.ID] ||
-				!ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) || e.Avoid != nil && e.Avoid(m.ID) ||
-				v.TeamRoom(j, taken[j.Spec.Team], 1) < 1 {
-				break
-			}
-			image := j.Spec.Image
-			if !m.Images.Has(image) && !m.Images.Underway(image) && !(fetching[image] && given[j.ID] > 0) {
-				elsewhere := false
-				for _, o := range v.Machines {
-					keep, kept := v.Withheld[o.ID]
-					elsewhere = elsewhere || o.ID != m.ID && o.Usable && o.Images.Has(image) && o.Free.Fits(j.Need) &&
-						ledger.Allowed(j.Spec, o.Type, o.Zone, o.Spot) && j.ZoneRoom(o.Zone) > 0 && (!kept || keep == j.ID) &&
-						(e.Avoid == nil || !e.Avoid(o.ID))
-				}
-				soon := 0 // tasks that will have room beside the image in time, when a fetch would be late
-				fetched := v.Now.Add(time.Duration(j.Spec.ImageGB / m.FetchGB * float64(time.Second)))
-				for _, o := range v.Machines {
-					keep, kept := v.Withheld[o.ID]
-					if o.ID == m.ID || !o.Usable || kept && keep != j.ID || !o.Images.Has(image) || !fetched.After(e.StartBy) ||
-						!ledger.Allowed(j.Spec, o.Type, o.Zone, o.Spot) || e.Avoid != nil && e.Avoid(o.ID) {
-						continue
-					}
-					there := o.Free
-					for _, b := range o.Busy {
-						if b.Until.Before(e.StartBy) {
-							there = there.Add(b.Room, 1)
-						}
+		keep, kept := v.Withheld[m.ID]
+		return !(kept && keep != j.ID) && !v.Now.Before(e.Retry) && left(e) > 0 && free.Fits(j.Need) && j.ZoneRoom(m.Zone) > given[j.ID] &&
+			ledger.Allowed(j.Spec, m.Type, m.Zone, m.Spot) && (e.Avoid == nil || !e.Avoid(m.ID)) &&
+			v.TeamRoom(j, taken[j.Spec.Team], 1) > 0
+	}
+	give := func(e *place.Entry) {
+		given[e.Job.ID]++
+		free = free.Add(e.Job.Need, -1)
+		taken[e.Job.Spec.Team] = taken[e.Job.Spec.Team].Add(e.Job.Need, 1)
+	}
+	for rank := range 4 {
+		for _, beyond := range []bool{false, true} {
+			var like []place.Entry // of this priority and standing, in order
+			for _, spot := range []bool{false, true} {
+				for _, e := range v.Queue {
+					// Off spot machines, work that may run nowhere else goes first.
+					if s := e.Job.Spec; s.Priority.Rank() == rank && e.Beyond == beyond && (m.Spot && spot || !m.Spot && s.Spot == spot) {
+						like = append(like, e)
 					}
-					for n := 0; there.Fits(j.Need) && n < j.ZoneRoom(o.Zone) && n < left; n++ {
-						there = there.Add(j.Need, -1)
-						soon++
+				}
+			}
+			single := func(e *place.Entry) bool { return e.Job.Spec.Shape != wire.Gang || e.Job.Spec.Tasks-e.Job.Done <= 1 }
+			for i := range like {
+				e := &like[i]
+				if !single(e) {
+					for range v.Reserved[m.ID][e.Job.ID] {
+						free = free.Add(e.Job.Need, -1)
 					}
+					continue
 				}
-				if underWay > 0 || cold >= v.Limits.ColdStarts || soon > before[image] || elsewhere && e.Waiting <= time.Duration(v.Limits.DeferCold) {
-					before[image] += left
-					break
+				image := e.Job.Spec.Image
+				for (m.Images.Has(image) || m.Images.Underway(image)) && takes(e) {
+					give(e)
+				}
+			}
+			for i := range like {
+				e := &like[i]
+				image := e.Job.Spec.Image
+				if !single(e) || m.Images.Has(image) || m.Images.Underway(image) || !takes(e) {
+					continue
+				}
+				if underWay > 0 || cold >= v.Limits.ColdStarts || soon(v, m, e) > before[image] || e.Waiting <= v.Limits.DeferCold && elsewhere(v, m, e) {
+					before[image] += left(e)
+					continue
 				}
-				fetching[image] = true
 				underWay++
 				cold++
+				for takes(e) {
+					give(e)
+				}
 			}
-			given[j.ID]++
-			free = free.Add(j.Need, -1)
-			taken[j.Spec.Team] = taken[j.Spec.Team].Add(j.Need, 1)
 		}
 	}
 	return given
 }
+
+// others lists the other machines that take tasks of the job and cache its image.
+func others(v *place.View, m *place.Machine, e *place.Entry) (out []*place.Machine) {
+	for _, o := range v.Machines {
+		keep, kept := v.Withheld[o.ID]
+		if o.ID != m.ID && o.Usable && (!kept || keep == e.Job.ID) && o.Images.Has(e.Job.Spec.Image) &&
+			ledger.Allowed(e.Job.Spec, o.Type, o.Zone, o.Spot) && (e.Avoid == nil || !e.Avoid(o.ID)) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// elsewhere tells whether another machine has room beside the image now.
+func elsewhere(v *place.View, m *place.Machine, e *place.Entry) bool {
+	for _, o := range others(v, m, e) {
+		if o.Free.Fits(e.Job.Need) && e.Job.ZoneRoom(o.Zone) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// soon counts the tasks that will have room beside the image in time, when a fetch
+// here would be late.
+func soon(v *place.View, m *place.Machine, e *place.Entry) int {
+	fetched := v.Now.Add(time.Duration(e.Job.Spec.ImageGB / m.FetchGB * float64(time.Second)))
+	if !fetched.After(e.StartBy) {
+		return 0
+	}
+	left := e.Job.Pending()
+	if e.Taken != nil {
+		left -= *e.Taken
+	}
+	n := 0
+	for _, o := range others(v, m, e) {
+		there := o.Free
+		for _, b := range o.Busy {
+			if b.Until.Before(e.StartBy) {
+				there = there.Add(b.Room, 1)
+			}
+		}
+		for k := 0; there.Fits(e.Job.Need) && k < e.Job.ZoneRoom(o.Zone) && k < left; k++ {
+			there = there.Add(e.Job.Need, -1)
+			n++
+		}
+	}
+	return n
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -310,48 +310,61 @@
 	teamTaken := map[wire.Team]ledger.Resources{}
 	ahead := map[wire.Image]int{} // tasks passed over here, by image
 	queue, least := v.order(m), v.leastNeed()
-	for i := range queue {
-		if !free.Fits(least) {
-			break
-		}
-		v.Looked++
-		e := &queue[i]
+	give := func(e *Entry, n int, how How) {
+		j := e.Job
+		free = free.Add(j.Need, -n)
+		teamTaken[j.Spec.Team] = teamTaken[j.Spec.Team].Add(j.Need, n)
+		starts = append(starts, Start{j, n, how})
+	}
+	room := func(e *Entry) int {
 		j := e.Job
-		if parts(j) > 1 {
-			if n := v.Reserved[m.ID][j.ID]; n > 0 && startsWhole(e) {
-				free = free.Add(j.Need, -n)
-			}
-			continue
-		}
-		if !v.open(e, m) {
-			continue
-		}
 		n := min(free.Times(j.Need, e.pending()), j.ZoneRoom(m.Zone))
 		if n <= 0 {
-			continue
+			return 0
 		}
 		// What this pass has given the team isn't in the ledger yet.
-		n = v.TeamRoom(j, teamTaken[j.Spec.Team], n)
-		if n <= 0 {
-			continue
+		return v.TeamRoom(j, teamTaken[j.Spec.Team], n)
+	}
+	for first, end := 0, 0; first < len(queue) && free.Fits(least); first = end {
+		var absent []*Entry // of the same priority and standing, for want of the image
+		for end = first; end < len(queue) && queue[end].class(&queue[first]) == 0 && free.Fits(least); end++ {
+			v.Looked++
+			e := &queue[end]
+			j := e.Job
+			if parts(j) > 1 {
+				if n := v.Reserved[m.ID][j.ID]; n > 0 && startsWhole(e) {
+					free = free.Add(j.Need, -n)
+				}
+				continue
+			}
+			if !v.open(e, m) {
+				continue
+			}
+			n := room(e)
+			switch {
+			case n <= 0:
+			case m.Images.Has(j.Spec.Image):
+				give(e, n, Cached)
+			case m.Images.Underway(j.Spec.Image):
+				give(e, n, Underway)
+			default:
+				absent = append(absent, e)
+			}
 		}
-		how := Cached
-		switch {
-		case m.Images.Has(j.Spec.Image):
-		case m.Images.Underway(j.Spec.Image):
-			how = Underway
-		case fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m) && !v.waitsForRoom(e) &&
-			v.roomInTime(e, m) <= ahead[j.Spec.Image]:
-			how = Cold
-			fetches++
-			cold++
-		default:
-			ahead[j.Spec.Image] += e.pending()
-			continue
+		for _, e := range absent {
+			n := room(e)
+			if n <= 0 {
+				continue
+			}
+			if fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m) && !v.waitsForRoom(e) &&
+				v.roomInTime(e, m) <= ahead[e.Job.Spec.Image] {
+				fetches++
+				cold++
+				give(e, n, Cold)
+				continue
+			}
+			ahead[e.Job.Spec.Image] += e.pending()
 		}
-		free = free.Add(j.Need, -n)
-		teamTaken[j.Spec.Team] = teamTaken[j.Spec.Team].Add(j.Need, n)
-		starts = append(starts, Start{j, n, how})
 	}
 	v.Cold = cold
 	return starts
@@ -448,28 +461,25 @@
 }
 
 // Gangs places the gangs of several tasks, in policy order and each whole or not
-// at all, over all machines. What is given to one is taken from the view.
+// at all, over all machines. As on the path of single tasks, of the gangs of one
+// priority and standing those that need no fetch go before those that do. What is
+// given to one is taken from the view.
 func Gangs(v *View) []GangStart {
 	var out []GangStart
 	var roomy []*Machine // with room for a task of the least of the gangs
 	taken := map[wire.Team]ledger.Resources{}
 	fetches := map[wire.MachineID]wire.Image{} // that this pass begins
-	for i := range v.Queue {
-		v.Looked++
-		e := &v.Queue[i]
+	try := func(e *Entry, worst int) bool {
 		j := e.Job
-		if parts(j) < 2 || !startsWhole(e) || v.Now.Before(e.Retry) {
-			continue
-		}
 		if need := parts(j); v.TeamRoom(j, taken[j.Spec.Team], need) < need {
-			continue
+			return true // its team's limit, not room, is in the way
 		}
 		if roomy == nil {
 			roomy = v.roomyForGangs()
 		}
-		placed := v.gang(e, roomy, fetches)
-		if placed == nil {
-			continue
+		placed, rank := v.gang(e, roomy, fetches)
+		if placed == nil || rank > worst {
+			return placed == nil
 		}
 		taken[j.Spec.Team] = taken[j.Spec.Team].Add(j.Need, parts(j))
 		for _, p := range placed {
@@ -480,6 +490,20 @@
 			}
 		}
 		out = append(out, GangStart{e, placed})
+		return true
+	}
+	for first, end := 0, 0; first < len(v.Queue); first = end {
+		var absent []*Entry
+		for end = first; end < len(v.Queue) && v.Queue[end].class(&v.Queue[first]) == 0; end++ {
+			v.Looked++
+			e := &v.Queue[end]
+			if parts(e.Job) > 1 && startsWhole(e) && !v.Now.Before(e.Retry) && !try(e, rankUnderway) {
+				absent = append(absent, e)
+			}
+		}
+		for _, e := range absent {
+			try(e, rankBusy)
+		}
 	}
 	return out
 }
@@ -537,9 +561,9 @@
 
 // gang places one gang. Its tasks start together, so the machine furthest from
 // having the image decides when: of the zones that it may be in, the one goes first
-// where that one is nearest. Machines nearest to the image go first, among them cheap
+// where that one is nearest; how near is told. Machines nearest to the image go first, among them cheap
 // ones, which not all work may use, and then those that the gang fills best.
-func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) []ledger.Placed {
+func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) (best []ledger.Placed, bestRank int) {
 	j := e.Job
 	need := parts(j)
 	type option struct {
@@ -571,7 +595,7 @@
 		total += room
 	}
 	if total < need {
-		return nil
+		return nil, 0
 	}
 	own := func(m *Machine) int {
 		if m.Spot {
@@ -579,8 +603,6 @@
 		}
 		return 1
 	}
-	var best []ledger.Placed
-	var bestRank int
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		options := zones[zone]
 		slices.SortFunc(options, func(a, b option) int {
@@ -607,7 +629,7 @@
 			best, bestRank = out, rank
 		}
 	}
-	return best
+	return best, bestRank
 }
 
 // Withhold chooses the machines whose freed room is kept for gangs that have
