--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -427,10 +427,11 @@
 		id, n := j.ID, j.Pending()
 		c.log.Info("start", "job", id, "tasks", n, "machines", len(parts))
 		ch := &change{drop: true, until: now.Add(2 * time.Second), draft: func(d *ledger.Draft) error {
-			if j := c.led.Job(id); j != nil {
-				return d.ClaimGang(j, parts)
+			j := c.led.Job(id)
+			if j == nil || slices.ContainsFunc(parts, func(p ledger.Placed) bool { return c.free(p.Site).Times(j.Need, p.Count) < p.Count }) {
+				return ledger.ErrStale // a holder has given the room away meanwhile
 			}
-			return ledger.ErrStale
+			return d.ClaimGang(j, parts)
 		}}
 		c.notes(id).taken += n
 		l.placing[id] = gangStart{ch, n}
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -84,13 +84,25 @@
 func (c *Core) setRoom(m *place.Machine, now time.Time) {
 	f, _ := c.led.Flavor(m.Type)
 	m.FetchGB, m.Busy = f.FetchGBps, c.busy(m.ID, now)
-	m.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
-	m.Free = m.Total
-	for _, h := range c.led.HeldBy(m.ID) {
-		if h.Session >= m.Session {
-			m.Free = m.Free.Add(h.Job.Need, -h.Count)
+	m.Total = c.total(m.Type)
+	m.Free = c.free(m.Site())
+}
+
+// total is what a machine of a type has.
+func (c *Core) total(t wire.MachineSKU) ledger.Resources {
+	f, _ := c.led.Flavor(t)
+	return ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
+}
+
+// free is what claims leave of a machine.
+func (c *Core) free(s ledger.Site) ledger.Resources {
+	free := c.total(s.Type)
+	for _, h := range c.led.HeldBy(s.Machine) {
+		if h.Session >= s.Session {
+			free = free.Add(h.Job.Need, -h.Count)
 		}
 	}
+	return free
 }
 
 // machines lists every machine that some controller has heard lately.
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -106,7 +106,7 @@
 	if !current() {
 		return goElsewhere // a newer report has been taken in meanwhile
 	}
-	cmds := w.Commands(r, c.led.HeldBy(r.Machine), now.Sub(c.contact) < startContact && c.led.Mark(r.Machine) != ledger.Leaving)
+	cmds := w.Commands(r, c.led.HeldBy(r.Machine), c.total(w.Type), now.Sub(c.contact) < startContact && c.led.Mark(r.Machine) != ledger.Leaving)
 	for _, cmd := range cmds {
 		if cmd.Op != wire.OpForget {
 			c.log.Info("command", "op", cmd.Op, "job", cmd.Task.Job, "task", cmd.Task.Index, "attempt", cmd.Attempt, "machine", r.Machine, "token", w.Hold)
@@ -367,7 +367,7 @@
 		}
 		// A gang may have been placed there meanwhile; what does not fit any more
 		// would be refused by the worker.
-		free := c.machineOf(w, time.Now()).Free
+		free := c.free(site)
 		err := ledger.ErrStale
 		for _, s := range starts {
 			j := c.led.Job(s.Job.ID)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -76,6 +76,14 @@
 	return j.Spec.Tasks - j.Done - j.Claimed
 }
 
+// Together is how many of the job's tasks must start together.
+func (j *Job) Together() int {
+	if j.Spec.Shape != wire.Gang {
+		return 1
+	}
+	return j.Spec.Tasks - j.Done
+}
+
 // TaskDone reports whether a task is on record as done.
 func (j *Job) TaskDone(t wire.TaskIndex) bool {
 	c := j.chunks[int(t)/j.chunkTasks]
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -154,13 +154,21 @@
 	return e.Job.Pending()
 }
 
+// alike is how close the times by which jobs must start may be for none to count
+// as more pressing.
+const alike = 10 * time.Second
+
 // Order sorts entries by the job policy: priority, work within a guarantee
 // before work beyond one, then the time by which it must start to meet an aim
-// that it can still meet, then arrival.
+// that it can still meet, then arrival. Of jobs that are as pressing as each other
+// those with the fewest tasks that must start together go first: the same room
+// serves more of them.
 func Order(entries []Entry) {
 	slices.SortFunc(entries, func(a, b Entry) int {
 		return cmp.Or(
 			a.class(&b),
+			a.startBy().Truncate(alike).Compare(b.startBy().Truncate(alike)),
+			cmp.Compare(a.Job.Together(), b.Job.Together()),
 			a.startBy().Compare(b.startBy()),
 			cmp.Compare(a.Job.Accepted, b.Job.Accepted),
 			cmp.Compare(a.Job.ID, b.Job.ID))
@@ -331,7 +339,7 @@
 			v.Looked++
 			e := &queue[end]
 			j := e.Job
-			if parts(j) > 1 {
+			if j.Together() > 1 {
 				if n := v.Reserved[m.ID][j.ID]; n > 0 && startsWhole(e) {
 					free = free.Add(j.Need, -n)
 				}
@@ -399,14 +407,6 @@
 		(e.Avoid == nil || !e.Avoid(m.ID))
 }
 
-// parts is how many tasks must start together.
-func parts(j *ledger.Job) int {
-	if j.Spec.Shape != wire.Gang {
-		return 1
-	}
-	return j.Spec.Tasks - j.Done
-}
-
 // waitsForCached reports whether another machine caches the image and has room:
 // it will report within a round and take the task without a fetch.
 func (v *View) waitsForCached(e *Entry, here *Machine) bool {
@@ -471,7 +471,7 @@
 	fetches := map[wire.MachineID]wire.Image{} // that this pass begins
 	try := func(e *Entry, worst int) bool {
 		j := e.Job
-		if need := parts(j); v.TeamRoom(j, taken[j.Spec.Team], need) < need {
+		if need := j.Together(); v.TeamRoom(j, taken[j.Spec.Team], need) < need {
 			return true // its team's limit, not room, is in the way
 		}
 		if roomy == nil {
@@ -481,7 +481,7 @@
 		if placed == nil || rank > worst {
 			return placed == nil
 		}
-		taken[j.Spec.Team] = taken[j.Spec.Team].Add(j.Need, parts(j))
+		taken[j.Spec.Team] = taken[j.Spec.Team].Add(j.Need, j.Together())
 		for _, p := range placed {
 			m := v.Machine(p.Site.Machine)
 			m.Free = m.Free.Add(j.Need, -p.Count)
@@ -497,7 +497,7 @@
 		for end = first; end < len(v.Queue) && v.Queue[end].class(&v.Queue[first]) == 0; end++ {
 			v.Looked++
 			e := &v.Queue[end]
-			if parts(e.Job) > 1 && startsWhole(e) && !v.Now.Before(e.Retry) && !try(e, rankUnderway) {
+			if e.Job.Together() > 1 && startsWhole(e) && !v.Now.Before(e.Retry) && !try(e, rankUnderway) {
 				absent = append(absent, e)
 			}
 		}
@@ -510,7 +510,7 @@
 
 // startsWhole reports whether all of a gang's unfinished tasks wait: while an earlier
 // attempt is still on its machines they can't.
-func startsWhole(e *Entry) bool { return e.Job.Claimed == 0 && e.pending() == parts(e.Job) }
+func startsWhole(e *Entry) bool { return e.Job.Claimed == 0 && e.pending() == e.Job.Together() }
 
 // Reserve notes where the gangs that there is room for now will be placed. Without
 // it lower jobs take that room task by task, with the first report, and a gang finds
@@ -540,7 +540,7 @@
 	const most = 1 << 60
 	least := ledger.Resources{CPU: most, GPU: most, Memory: most}
 	for i := range v.Queue {
-		if j := v.Queue[i].Job; parts(j) > 1 && j.Claimed == 0 {
+		if j := v.Queue[i].Job; j.Together() > 1 && j.Claimed == 0 {
 			least = ledger.Resources{CPU: min(least.CPU, j.Need.CPU), GPU: min(least.GPU, j.Need.GPU), Memory: min(least.Memory, j.Need.Memory)}
 		}
 	}
@@ -565,7 +565,7 @@
 // ones, which not all work may use, and then those that the gang fills best.
 func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) (best []ledger.Placed, bestRank int) {
 	j := e.Job
-	need := parts(j)
+	need := j.Together()
 	type option struct {
 		m    *Machine
 		room int
@@ -643,8 +643,8 @@
 		if j.Spec.Shape != wire.Gang || j.Pending() == 0 || e.Waiting < v.Limits.WithholdAfter || v.Now.Before(e.Retry) {
 			continue
 		}
-		need := min(parts(j), v.TeamRoom(j, ledger.Resources{}, parts(j)))
-		if need < parts(j) {
+		need := min(j.Together(), v.TeamRoom(j, ledger.Resources{}, j.Together()))
+		if need < j.Together() {
 			continue
 		}
 		var options []*Machine
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -3,6 +3,8 @@
 package workers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"maddermill/internal/ledger"
@@ -34,6 +36,7 @@
 	Errors  map[wire.JobID]time.Time   // jobs whose tasks failed there
 	stop    map[claimID]bool           // tasks told to leave
 	sent    map[claimID]wire.Tally     // by which report's answer a start went out
+	dropped map[claimID]bool           // claimed beside others that fill the machine, never sent
 	running map[claimID]wire.TaskState // as last reported
 	since   map[claimID]time.Time      // when a task was first seen running
 }
@@ -42,7 +45,7 @@
 func NewWorker(r *wire.Report, now time.Time) *Worker {
 	return &Worker{ID: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, First: now,
 		Errors: map[wire.JobID]time.Time{}, stop: map[claimID]bool{},
-		sent: map[claimID]wire.Tally{}, running: map[claimID]wire.TaskState{}, since: map[claimID]time.Time{}}
+		sent: map[claimID]wire.Tally{}, dropped: map[claimID]bool{}, running: map[claimID]wire.TaskState{}, since: map[claimID]time.Time{}}
 }
 
 // Stale reports whether a report is older than one already taken. A network
@@ -85,6 +88,7 @@
 	if r.Session != w.Session {
 		clear(w.stop)
 		clear(w.sent)
+		clear(w.dropped)
 		clear(w.running)
 		clear(w.since)
 	}
@@ -107,6 +111,8 @@
 		}
 	}
 	var f Findings
+	dropped := w.dropped
+	w.dropped = map[claimID]bool{}
 	for _, h := range held {
 		for i := range h.Count {
 			task := h.First + wire.TaskIndex(i)
@@ -129,7 +135,8 @@
 			case !w.Fresh:
 			case h.Token < hold:
 				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
-			case h.Token == hold && !w.wanted(h):
+			case h.Token == hold && (!w.wanted(h) || dropped[id]):
+				w.dropped[id] = dropped[id]
 				if sent, ok := w.sent[id]; !ok || r.Tally > sent {
 					f.Exits = append(f.Exits, Exit{Held: h, Task: task})
 				}
@@ -171,8 +178,9 @@
 
 // Commands builds the answer to the report taken last, from the ledger as it is
 // now. Starts go only for claims under the token that the answer carries;
-// mayStart is false while the ledger may have missed a cancellation.
-func (w *Worker) Commands(r *wire.Report, held []ledger.Held, mayStart bool) []wire.Command {
+// mayStart is false while the ledger may have missed a cancellation. total is what
+// the machine has, zero if that isn't known.
+func (w *Worker) Commands(r *wire.Report, held []ledger.Held, total ledger.Resources, mayStart bool) []wire.Command {
 	cmds := []wire.Command{}
 	claims := make(map[claimID]ledger.Held, len(held))
 	for _, h := range held {
@@ -215,16 +223,39 @@
 	if !mayStart || !w.Recall.IsZero() {
 		return cmds
 	}
+	var starts []ledger.Held
+	free := total
 	for _, h := range held {
-		if h.Token != w.Hold || h.Session != r.Session || !w.wanted(h) {
+		if h.Session != r.Session {
 			continue
 		}
+		absent := 0
+		for i := range h.Count {
+			if _, ok := claims[claimID{wire.TaskID{Job: h.Job.ID, Index: h.First + wire.TaskIndex(i)}, h.Attempt}]; ok {
+				absent++
+			}
+		}
+		free = free.Add(h.Job.Need, absent-h.Count)
+		if absent > 0 && h.Token == w.Hold && w.wanted(h) {
+			starts = append(starts, h)
+		}
+	}
+	// Two controllers may have claimed the same room at once. The worker would refuse
+	// the second; a single task gives way, since a gang would lose all its others.
+	slices.SortStableFunc(starts, func(a, b ledger.Held) int { return cmp.Compare(b.Job.Together(), a.Job.Together()) })
+	for _, h := range starts {
 		for i := range h.Count {
 			id := claimID{wire.TaskID{Job: h.Job.ID, Index: h.First + wire.TaskIndex(i)}, h.Attempt}
-			if _, absent := claims[id]; absent {
-				w.sent[id] = r.Tally
-				cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: id.task, Attempt: id.attempt})
+			if _, absent := claims[id]; !absent || w.dropped[id] {
+				continue
 			}
+			if _, sent := w.sent[id]; !sent && total != (ledger.Resources{}) && !free.Fits(h.Job.Need) {
+				w.dropped[id] = true
+				continue
+			}
+			free = free.Add(h.Job.Need, -1)
+			w.sent[id] = r.Tally
+			cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: id.task, Attempt: id.attempt})
 		}
 	}
 	return cmds
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -82,7 +82,7 @@
 	} {
 		w := NewWorker(tc.r, time.Time{})
 		w.Take(tc.r, tc.held, hold, time.Time{})
-		cmds := w.Commands(tc.r, tc.held, tc.mayStart)
+		cmds := w.Commands(tc.r, tc.held, ledger.Resources{}, tc.mayStart)
 		got := ""
 		if len(cmds) > 0 {
 			got = string(cmds[0].Op)
@@ -95,7 +95,7 @@
 	r.Notice = &recall
 	w := NewWorker(r, time.Time{})
 	w.Take(r, held(1, hold, ""), hold, time.Time{})
-	if cmds := w.Commands(r, held(1, hold, ""), true); len(cmds) != 1 || cmds[0].Op != wire.OpStop || *cmds[0].Grace < 2 {
+	if cmds := w.Commands(r, held(1, hold, ""), ledger.Resources{}, true); len(cmds) != 1 || cmds[0].Op != wire.OpStop || *cmds[0].Grace < 2 {
 		t.Errorf("before a recall a task must save: %+v", cmds)
 	}
 }
@@ -127,7 +127,7 @@
 		w := NewWorker(r, time.Time{})
 		f := w.Take(r, h, hold, time.Time{})
 		var ops []wire.Op
-		for _, cmd := range w.Commands(r, h, tc.mayStart) {
+		for _, cmd := range w.Commands(r, h, ledger.Resources{}, tc.mayStart) {
 			ops = append(ops, cmd.Op)
 		}
 		if len(f.Exits) != tc.exits || !slices.Equal(ops, tc.ops) {
@@ -136,6 +136,31 @@
 	}
 }
 
+// TestNoRoomForBoth: of two claims of the same room only one is sent, the gang's, and
+// the other is proven over with the next report: it was never sent.
+func TestNoRoomForBoth(t *testing.T) {
+	h := append(held(1, hold, ""), held(1, hold, "")...)
+	for i := range h {
+		h[i].Job.Need = ledger.NewResources(1, 2, 0)
+	}
+	h[1].Job.ID, h[1].Job.Spec.Shape, h[1].Job.Spec.Tasks = "wk-000002", wire.Gang, 4
+	w := NewWorker(report(1, 9, hold), time.Time{})
+	total := ledger.NewResources(8, 3, 64)
+	w.Take(report(1, 9, hold), h, hold, time.Time{})
+	if cmds := w.Commands(report(1, 9, hold), h, total, true); len(cmds) != 1 || cmds[0].Task.Job != "wk-000002" {
+		t.Fatalf("%+v, want the gang's start alone", cmds)
+	}
+	there := wire.TaskReport{Task: wire.TaskID{Job: "wk-000002"}, Attempt: 3, State: wire.TaskFetching}
+	r := report(1, 10, hold, there)
+	f := w.Take(r, h, hold, time.Time{})
+	if len(f.Exits) != 1 || f.Exits[0].Held.Job.ID != "wk-000001" {
+		t.Errorf("over: %+v, want the one never sent", f.Exits)
+	}
+	if cmds := w.Commands(r, h, total, true); len(cmds) != 0 {
+		t.Errorf("%+v while its claim still stands", cmds)
+	}
+}
+
 func TestStaleReports(t *testing.T) {
 	w := NewWorker(report(2, 5, 0), time.Time{})
 	w.Take(report(2, 5, 0), nil, hold, time.Time{})
