Batches coalesce, starts and exits take turns, one mark before a return

Batches of two changes wrote the same records again and again, starts waited behind exits until they were given up, and the leader wrote three marks a machine.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -38,6 +38,9 @@
 	return time.Duration(float64(time.Second) / min(10, max(2, perSecond)))
 }
 
+// mostTried bounds how much of a long queue a full batch is tried on.
+const mostTried = 200
+
 // changesForUsers is what batches leave of the budget for users' requests.
 const changesForUsers = 2
 
@@ -75,48 +78,76 @@
 	}
 }
 
+// leastBatch is how many changes a batch waits for when the budget is short. Many
+// small batches write the same records, jobs' and capped teams', again and again.
+func (c *Core) leastBatch() int {
+	share := c.set.Cluster.State.WriteRPS / float64(c.set.Cluster.Count)
+	return max(2, min(c.set.Cluster.State.TxnOps, int(share/2)))
+}
+
+// alternate orders a queue so that starts, which are given up after a while, and
+// all else take turns, each in its own order. In a flood of exits no start would
+// ever be in time otherwise.
+func alternate(queue []*change) []*change {
+	var starts, others []*change
+	for _, ch := range queue {
+		if ch.drop {
+			starts = append(starts, ch)
+		} else {
+			others = append(others, ch)
+		}
+	}
+	out := queue[:0:0]
+	for i := range max(len(starts), len(others)) {
+		if i < len(others) {
+			out = append(out, others[i])
+		}
+		if i < len(starts) {
+			out = append(out, starts[i])
+		}
+	}
+	return out
+}
+
 // writeBatch commits as many changes as fit and returns those left. A batch larger
 // than what the budget has left would wait for it, be given up, and be drafted anew
-// for ever; one that leaves nothing would keep users waiting.
+// for ever; one that leaves nothing would keep users waiting. Changes after the one
+// that fills the batch are still tried: many of them only add to a record in it.
 func (c *Core) writeBatch(ctx context.Context, queue []*change) []*change {
-	changes := c.store.Changes() - changesForUsers
-	if changes < 2 {
-		sleep(ctx, c.batchEvery())
-		changes = max(2, c.store.Changes()-changesForUsers)
+	for c.store.Changes() < c.leastBatch()+changesForUsers && ctx.Err() == nil {
+		sleep(ctx, c.batchEvery()/2)
 	}
+	changes := c.store.Changes() - changesForUsers
 	c.mu.Lock()
 	d := c.led.NewDraftOf(changes)
 	var in, left []*change
 	now := time.Now()
-	full := false
-	for _, ch := range queue {
-		if ch.drop && now.After(ch.until) {
-			ch.done <- errDropped
-			continue
-		}
-		if full {
-			left = append(left, ch)
-			continue
-		}
+	add := func(d *ledger.Draft, ch *change) {
 		switch err := ch.draft(d); {
 		case err == nil:
 			in = append(in, ch)
 		case errors.Is(err, ledger.ErrFull):
-			full = true
 			left = append(left, ch)
 		default:
 			ch.done <- err
 		}
 	}
-	if full && len(in) == 0 {
+	for i, ch := range alternate(queue) {
+		switch {
+		case ch.drop && now.After(ch.until):
+			ch.done <- errDropped
+		case i > mostTried && len(left) > 0:
+			left = append(left, ch)
+		default:
+			add(d, ch)
+		}
+	}
+	if len(in) == 0 && len(left) > 0 {
 		// The first alone is more than the budget has room for: let it wait.
+		first := left[0]
+		left = left[1:]
 		d = c.led.NewDraft()
-		if err := left[0].draft(d); err == nil {
-			in, left = left[:1:1], left[1:]
-		} else if !errors.Is(err, ledger.ErrFull) {
-			left[0].done <- err
-			left = left[1:]
-		}
+		add(d, first)
 	}
 	txn, err := d.Txn()
 	c.mu.Unlock()
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -93,7 +93,7 @@
 		}
 	}()
 	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
-		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
+		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
 	// Gangs must not wait for the cloud, which is slow, limited, and at times out.
 	placing := make(chan struct{})
 	go func() {
@@ -147,6 +147,7 @@
 	marking  map[markKey]*change          // asked for, perhaps not yet in the ledger
 	placing  map[wire.JobID]gangStart     // decided, and not yet known to be in the ledger
 	refused  map[fleet.Option]time.Time   // no capacity until
+	returned map[wire.MachineID]bool      // the cloud has confirmed it
 	released map[wire.MachineID]time.Time // when its claims were asked to be released
 	flavors  map[wire.MachineSKU]wire.Flavor
 	settled  time.Time // since when silence of machines counts
@@ -332,45 +333,53 @@
 	l.marking[key] = ch
 }
 
-// finishReturns moves marked machines on: an empty draining one leaves; a
-// leaving one is returned, and gone when the cloud has confirmed; what was
-// claimed on a gone one is released.
+// finishReturns moves marked machines on: an empty draining one leaves; a leaving
+// one is returned; what was claimed on one whose return the cloud has confirmed is
+// released. That it is gone goes on record when there are changes to spare: a new
+// leader only returns it once more.
 func (l *leader) finishReturns(ctx context.Context) error {
 	c := l.c
 	var leaving []wire.MachineID
+	spare := c.store.Changes() > c.set.Cluster.State.TxnOps/2
 	c.mu.Lock()
 	c.led.Outgoing(func(id wire.MachineID, k ledger.MachineMark) {
-		if k == ledger.Leaving {
+		switch {
+		case k == ledger.Leaving && l.returned[id]:
+			if spare {
+				l.setMark(id, ledger.Gone, "returned")
+			}
+		case k == ledger.Leaving:
 			leaving = append(leaving, id)
-		} else if len(c.led.HeldBy(id)) == 0 {
+		case len(c.led.HeldBy(id)) == 0:
 			l.setMark(id, ledger.Leaving, "empty")
 		}
 	})
+	c.mu.Unlock()
+	slices.Sort(leaving)
+	for batch := range slices.Chunk(leaving, cloud.MaxReturn) {
+		if err := l.cloud.Return(ctx, batch); err != nil {
+			return err
+		}
+		for _, id := range batch {
+			l.returned[id] = true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone := func(id wire.MachineID) bool { return l.returned[id] || c.led.Mark(id) == ledger.Gone }
 	c.led.Holders(func(id wire.MachineID, held []ledger.Held) {
-		if c.led.Mark(id) == ledger.Gone {
+		if gone(id) {
 			l.releaseAll(id, held)
 		}
 	})
 	for id := range l.units {
-		if c.led.Mark(id) == ledger.Gone {
+		if gone(id) {
 			delete(l.units, id)
-			for _, m := range []ledger.MachineMark{ledger.Draining, ledger.Leaving, ledger.Gone} {
+			for _, m := range []ledger.MachineMark{ledger.Draining, ledger.Leaving} {
 				delete(l.marking, markKey{id, m})
 			}
 		}
 	}
-	c.mu.Unlock()
-	slices.Sort(leaving)
-	for batch := range slices.Chunk(leaving, cloud.MaxReturn) {
-		if err := l.cloud.Return(ctx, batch); err != nil {
-			return err
-		}
-		c.mu.Lock()
-		for _, id := range batch {
-			l.setMark(id, ledger.Gone, "returned")
-		}
-		c.mu.Unlock()
-	}
 	return nil
 }
 
@@ -393,13 +402,6 @@
 		}
 	}
 	for _, ch := range c.exitChanges(exits) {
-		draft := ch.draft
-		ch.draft = func(d *ledger.Draft) error {
-			if c.led.Mark(id) != ledger.Gone {
-				return ledger.ErrStale
-			}
-			return draft(d)
-		}
 		c.enqueue(ch)
 	}
 }
@@ -493,7 +495,9 @@
 		}
 	}
 	for _, id := range plan.Drain {
-		l.setMark(id, ledger.Draining, "idle")
+		// Nothing has been claimed there for a while. A start that comes at the very
+		// same time is lost with the machine; two marks for every machine cost more.
+		l.setMark(id, ledger.Leaving, "idle")
 	}
 	c.mu.Unlock()
 	for _, need := range plan.Hire {
