--- /dev/null
+++ b/internal/controller/commit_test.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/standin"
+	"maddermill/internal/state"
+	"maddermill/wire"
+)
+
+// scarce is a state service with a budget of changes that does not refill.
+type scarce struct {
+	state.Store
+	budget int
+	sizes  []int
+}
+
+func (s *scarce) Changes() int { return s.budget }
+
+func (s *scarce) Commit(_ context.Context, t wire.Txn) (wire.Revision, error) {
+	s.sizes = append(s.sizes, len(t.Then))
+	s.budget -= len(t.Then)
+	return 0, nil
+}
+
+// TestBatchKeepsToTheBudget: a batch has no more changes than the budget has room for,
+// leaves some for users, and still takes in what only adds to a record that it writes
+// already. Batches of a whole transaction's size once waited for the budget until they
+// were given up, with all starts in them; batches that stopped at the first change that
+// did not fit wrote one job's record ten times a second.
+func TestBatchKeepsToTheBudget(t *testing.T) {
+	set := testSettings(t, 0)
+	s := &scarce{Store: standin.NewLink(standin.NewStore(set.Cluster.State.TxnOps, set.ValueBytes()), 1), budget: 10}
+	c := New(set, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.loaded = true
+	id := func(i int) wire.JobID { return wire.JobID(fmt.Sprintf("wk-%06d", i)) }
+	for i := range 12 {
+		value := fmt.Sprintf(`{"spec":{"id":"%s","pieces":20,"shape":"array","owner":"free"},"at":1,"a":1,"c":[[0,20,1,"host-1","a",1,1]]}`, id(i))
+		c.led.Apply(ledger.Event{Key: "mm1/j/" + string(id(i)), Value: []byte(value), Version: wire.Revision(i + 1)})
+	}
+	exit := func(job, task int) *change {
+		return &change{done: make(chan error, 1), draft: func(d *ledger.Draft) error {
+			j := c.led.Job(id(job))
+			return d.Exit(j, ledger.Claim{Attempt: 1, Machine: "host-1", Session: 1, Token: 1}, wire.TaskIndex(task), true)
+		}}
+	}
+	var queue []*change
+	for i := range 12 {
+		queue = append(queue, exit(i, 0))
+	}
+	for i := range 5 {
+		queue = append(queue, exit(0, i+1)) // to a record that the batch writes already
+	}
+	left := c.writeBatch(t.Context(), queue)
+	if len(s.sizes) != 1 || s.sizes[0] != 10-changesForUsers {
+		t.Errorf("batches of %v changes with room for 10", s.sizes)
+	}
+	if want := 12 - (10 - changesForUsers); len(left) != want {
+		t.Errorf("%d changes left, want %d", len(left), want)
+	}
+}
+
+// TestStartsAndExitsTakeTurns: in a flood of exits starts are still tried, and neither
+// kind changes its own order.
+func TestStartsAndExitsTakeTurns(t *testing.T) {
+	var queue []*change
+	for i := range 6 {
+		queue = append(queue, &change{drop: i >= 4, until: time.Unix(int64(i), 0)})
+	}
+	got := ""
+	for _, ch := range alternate(queue) {
+		got += fmt.Sprint(ch.until.Unix())
+	}
+	if got != "041523" {
+		t.Errorf("order %s", got)
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -370,8 +370,7 @@
 	l.marking[key] = ch
 }
 
-// finishReturns moves marked machines on: an empty draining one leaves; a leaving
-// one is returned; what was claimed on one whose return the cloud has confirmed is
+// finishReturns moves marked machines on: a leaving one is returned; what was claimed on one whose return the cloud has confirmed is
 // released. That it is gone goes on record when there are changes to spare: a new
 // leader only returns it once more.
 func (l *leader) finishReturns(ctx context.Context) error {
@@ -379,16 +378,12 @@
 	var leaving []wire.MachineID
 	spare := c.store.Changes() > c.set.Cluster.State.TxnOps/2
 	c.mu.Lock()
-	c.led.Outgoing(func(id wire.MachineID, k ledger.MachineMark) {
+	c.led.Outgoing(func(id wire.MachineID) {
 		switch {
-		case k == ledger.Leaving && l.returned[id]:
-			if spare {
-				l.setMark(id, ledger.Gone, "returned")
-			}
-		case k == ledger.Leaving:
+		case !l.returned[id]:
 			leaving = append(leaving, id)
-		case len(c.led.HeldBy(id)) == 0:
-			l.setMark(id, ledger.Leaving, "empty")
+		case spare:
+			l.setMark(id, ledger.Gone, "returned")
 		}
 	})
 	c.mu.Unlock()
@@ -412,9 +407,7 @@
 	for id := range l.units {
 		if gone(id) {
 			delete(l.units, id)
-			for _, m := range []ledger.MachineMark{ledger.Draining, ledger.Leaving} {
-				delete(l.marking, markKey{id, m})
-			}
+			delete(l.marking, markKey{id, ledger.Leaving})
 		}
 	}
 	return nil
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -532,7 +532,7 @@
 func (d *Draft) SetMark(m wire.MachineID, mark MachineMark, why string, by wire.Revision) error {
 	return d.try(func() error {
 		old := d.l.marks[m]
-		order := func(k MachineMark) int { return slices.Index([]MachineMark{"", Draining, Leaving, Gone}, k) }
+		order := func(k MachineMark) int { return slices.Index([]MachineMark{"", Leaving, Gone}, k) }
 		if d.l.leaderVer != by || order(mark) <= order(old) || mark == Gone && old != Leaving {
 			return ErrStale
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -212,9 +212,9 @@
 
 // Outgoing calls f for every machine on its way out that isn't known to be gone.
 // Marks of machines long gone are kept for ever; no duty walks them.
-func (l *Ledger) Outgoing(f func(wire.MachineID, MachineMark)) {
+func (l *Ledger) Outgoing(f func(wire.MachineID)) {
 	for m := range l.leaving {
-		f(m, l.marks[m])
+		f(m)
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -101,7 +101,7 @@
 			case 0:
 				_, _ = d.Cancel(j)
 			case 1:
-				_ = d.SetMark(site(machine, 0).Machine, ledger.Draining, "test", leader)
+				_ = d.SetMark(site(machine, 0).Machine, ledger.Leaving, "test", leader)
 			case 2, 3, 4, 5, 6:
 				if j.Spec.Shape == wire.Gang {
 					left, parts := j.Pending(), []ledger.Placed(nil)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -143,9 +143,8 @@
 
 // The marks of machines that leave. There is no way back.
 const (
-	Draining MachineMark = "draining" // nothing new; return it when empty
-	Leaving  MachineMark = "leaving"  // being returned, tasks or not
-	Gone     MachineMark = "gone"     // the cloud has confirmed
+	Leaving MachineMark = "leaving" // being returned, tasks or not
+	Gone    MachineMark = "gone"    // the cloud has confirmed
 )
 
 type machineRecord struct {
