--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -93,7 +93,7 @@
 		}
 	}()
 	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
-		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
+		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, dark: map[wire.Zone]time.Time{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
 	// Gangs must not wait for the cloud, which is slow, limited, and at times out.
 	placing := make(chan struct{})
 	go func() {
@@ -147,6 +147,7 @@
 	marking  map[markKey]*change          // asked for, perhaps not yet in the ledger
 	placing  map[wire.JobID]gangStart     // decided, and not yet known to be in the ledger
 	refused  map[fleet.Option]time.Time   // no capacity until
+	dark     map[wire.Zone]time.Time      // cut off, to be left alone until
 	returned map[wire.MachineID]bool      // the cloud has confirmed it
 	released map[wire.MachineID]time.Time // when its claims were asked to be released
 	flavors  map[wire.MachineSKU]wire.Flavor
@@ -169,6 +170,7 @@
 		}
 	}
 	l.observe(time.Now())
+	l.watchZones(time.Now())
 	l.markLost(time.Now())
 	if err := l.finishReturns(ctx); err != nil {
 		return err
@@ -285,6 +287,41 @@
 	return d
 }
 
+// watchZones notes the zones that are cut off: several machines have been heard
+// there, and all of them have fallen silent, while others have not. What is rented
+// in such a zone is paid for and can't report, and counting on it leaves work
+// waiting. A zone is tried again after two leases, or when one is heard there.
+func (l *leader) watchZones(now time.Time) {
+	c := l.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	silent := 2*c.set.Cluster.Workers.Report.Duration() + 2*time.Second
+	known, heard, total := map[wire.Zone]int{}, map[wire.Zone]int{}, 0
+	for _, u := range l.units {
+		if u.heard.After(l.began) {
+			known[u.Zone]++
+			if now.Sub(u.heard) < silent {
+				heard[u.Zone]++
+				total++
+			}
+		}
+	}
+	for z, n := range known {
+		switch {
+		case heard[z] > 0:
+			delete(l.dark, z)
+		case n >= fewToJudge && total >= fewToJudge && now.Sub(l.settled) > silent:
+			if l.dark[z].IsZero() {
+				c.log.Info("zone is silent", "zone", z, "machines", n)
+			}
+			l.dark[z] = now.Add(2 * c.set.Cluster.Workers.Lease.Duration())
+		}
+	}
+}
+
+// fewToJudge is how many machines it takes to judge a zone by.
+const fewToJudge = 3
+
 // markLost marks the machines that are to be returned whatever is on them:
 // lost, failed, faulty, or never up.
 func (l *leader) markLost(now time.Time) {
@@ -333,8 +370,7 @@
 	l.marking[key] = ch
 }
 
-// finishReturns moves marked machines on: an empty draining one leaves; a leaving
-// one is returned; what was claimed on one whose return the cloud has confirmed is
+// finishReturns moves marked machines on: a leaving one is returned; what was claimed on one whose return the cloud has confirmed is
 // released. That it is gone goes on record when there are changes to spare: a new
 // leader only returns it once more.
 func (l *leader) finishReturns(ctx context.Context) error {
@@ -342,16 +378,12 @@
 	var leaving []wire.MachineID
 	spare := c.store.Changes() > c.set.Cluster.State.TxnOps/2
 	c.mu.Lock()
-	c.led.Outgoing(func(id wire.MachineID, k ledger.MachineMark) {
+	c.led.Outgoing(func(id wire.MachineID) {
 		switch {
-		case k == ledger.Leaving && l.returned[id]:
-			if spare {
-				l.setMark(id, ledger.Gone, "returned")
-			}
-		case k == ledger.Leaving:
+		case !l.returned[id]:
 			leaving = append(leaving, id)
-		case len(c.led.HeldBy(id)) == 0:
-			l.setMark(id, ledger.Leaving, "empty")
+		case spare:
+			l.setMark(id, ledger.Gone, "returned")
 		}
 	})
 	c.mu.Unlock()
@@ -375,9 +407,7 @@
 	for id := range l.units {
 		if gone(id) {
 			delete(l.units, id)
-			for _, m := range []ledger.MachineMark{ledger.Draining, ledger.Leaving} {
-				delete(l.marking, markKey{id, m})
-			}
+			delete(l.marking, markKey{id, ledger.Leaving})
 		}
 	}
 	return nil
@@ -463,7 +493,7 @@
 	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: v.Queue, TeamRoom: c.led.TeamRoom,
 		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
 		Headroom: c.set.Operators.Headroom,
-		Refused:  func(o fleet.Option) bool { return now.Before(l.refused[o]) }}
+		Refused:  func(o fleet.Option) bool { return now.Before(l.refused[o]) || now.Before(l.dark[o.Zone]) }}
 	for id, u := range l.units {
 		if c.led.Mark(id) != "" {
 			continue
@@ -473,7 +503,7 @@
 		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
 			// One that is up but has yet to accept our token will take tasks in a
 			// moment; not to count it would rent another in its place.
-			Usable: booting || !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
+			Usable: booting && !now.Before(l.dark[u.Zone]) || !booting && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
 		if m := v.Machine(id); m != nil {
 			n.Caches = m.Images.Has
 			if under := m.Images.Under(); len(under) > 0 {
