Batches wait for no more changes than the budget can ever hold

From reading: with transactions of fewer than four changes the budget's burst was below what a batch waited for, and nothing would have been written at all.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -114,10 +114,13 @@
 // for ever; one that leaves nothing would keep users waiting. Changes after the one
 // that fills the batch are still tried: many of them only add to a record in it.
 func (c *Core) writeBatch(ctx context.Context, queue []*change) []*change {
-	for c.store.Changes() < c.leastBatch()+changesForUsers && ctx.Err() == nil {
+	// No more than a transaction's changes may be waited for: the budget may never
+	// hold more.
+	least := min(c.leastBatch()+changesForUsers, c.set.Cluster.State.TxnOps)
+	for c.store.Changes() < least && ctx.Err() == nil {
 		sleep(ctx, c.batchEvery()/2)
 	}
-	changes := c.store.Changes() - changesForUsers
+	changes := max(2, c.store.Changes()-changesForUsers)
 	c.mu.Lock()
 	d := c.led.NewDraftOf(changes)
 	var in, left []*change
--- a/internal/controller/commit_test.go
+++ b/internal/controller/commit_test.go
@@ -66,6 +66,26 @@
 	}
 }
 
+// TestSmallestBudget: where a transaction takes only two changes the budget never holds
+// more, and batches must not wait for it to.
+func TestSmallestBudget(t *testing.T) {
+	set := testSettings(t, 0)
+	set.Cluster.State.TxnOps = 2
+	s := &scarce{Store: standin.NewLink(standin.NewStore(2, set.ValueBytes()), 1), budget: 2}
+	c := New(set, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.loaded = true
+	c.led.Apply(ledger.Event{Key: "mm1/j/wk-000001", Version: 1,
+		Value: []byte(`{"spec":{"id":"wk-000001","pieces":1,"shape":"array","owner":"free"},"at":1,"a":1,"c":[[0,1,1,"host-1","a",1,1]]}`)})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c.writeBatch(ctx, []*change{{done: make(chan error, 1), draft: func(d *ledger.Draft) error {
+		return d.Exit(c.led.Job("wk-000001"), ledger.Claim{Attempt: 1, Machine: "host-1", Session: 1, Token: 1}, 0, true)
+	}}})
+	if len(s.sizes) != 1 || ctx.Err() != nil {
+		t.Errorf("batches of %v changes with a budget of two", s.sizes)
+	}
+}
+
 // TestStartsAndExitsTakeTurns: in a flood of exits starts are still tried, and neither
 // kind changes its own order.
 func TestStartsAndExitsTakeTurns(t *testing.T) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -370,9 +370,9 @@
 	l.marking[key] = ch
 }
 
-// finishReturns moves marked machines on: a leaving one is returned; what was claimed on one whose return the cloud has confirmed is
-// released. That it is gone goes on record when there are changes to spare: a new
-// leader only returns it once more.
+// finishReturns moves marked machines on: a leaving one is returned; what was claimed
+// on one whose return the cloud has confirmed is released. That it is gone goes on
+// record when there are changes to spare: a new leader only returns it once more.
 func (l *leader) finishReturns(ctx context.Context) error {
 	c := l.c
 	var leaving []wire.MachineID
@@ -420,11 +420,11 @@
 // be gone.
 func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
 	c := l.c
-	if now := time.Now(); now.Sub(l.released[id]) < releaseAgain {
+	now := time.Now()
+	if now.Sub(l.released[id]) < releaseAgain {
 		return // on its way
-	} else {
-		l.released[id] = now
 	}
+	l.released[id] = now
 	var exits []workers.Exit
 	for _, h := range held {
 		for i := range h.Count {
