Standstills noticed, rentals recorded first, boots judged by their like

Cause: a leader frozen in an outage keeps its lease; whichever duty ran first afterwards could make it look in touch all along, and all machines silent. A deposed leader went on with a rental plan in hand; a successor waited for two list lags, or rented again, what its predecessor had rented. Machines that never came were counted on for four boot times.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -36,24 +36,26 @@
 	Stats *metrics.Set
 	boot  time.Time
 
-	mu       sync.Mutex
-	led      *ledger.Ledger
-	loaded   bool
-	advanced chan struct{} // closed whenever the ledger advances
-	token    wire.Token
-	contact  time.Time // all that was committed before is in the ledger
-	workers  map[wire.MachineID]*workers.Worker
-	images   map[wire.MachineID]*imageState
-	peers    map[wire.MemberID]*peer
-	told     map[wire.MemberID]time.Time // when peers last asked over the mesh
-	jobs     map[wire.JobID]*jobNotes
-	classes  classSums
-	claimed  map[claimKey]time.Time // when a claim was first seen
-	seen     *place.View            // the picture that placement decides from, and
-	seenAt   time.Time              // since when
-	surplus  surplus
-	withheld map[wire.MachineID]wire.JobID
-	making   map[wire.MachineID]room
+	mu         sync.Mutex
+	led        *ledger.Ledger
+	loaded     bool
+	advanced   chan struct{} // closed whenever the ledger advances
+	token      wire.Token
+	contact    time.Time // all that was committed before is in the ledger
+	ranAt      time.Time // when this process was last known to run, and
+	awakeSince time.Time // since when without a break; zero: ever since its start
+	workers    map[wire.MachineID]*workers.Worker
+	images     map[wire.MachineID]*imageState
+	peers      map[wire.MemberID]*peer
+	told       map[wire.MemberID]time.Time // when peers last asked over the mesh
+	jobs       map[wire.JobID]*jobNotes
+	classes    classSums
+	claimed    map[claimKey]time.Time // when a claim was first seen
+	seen       *place.View            // the picture that placement decides from, and
+	seenAt     time.Time              // since when
+	surplus    surplus
+	withheld   map[wire.MachineID]wire.JobID
+	making     map[wire.MachineID]room
 
 	barriers   chan *barrier
 	pendingMu  sync.Mutex
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -120,7 +120,7 @@
 	h.mu.Lock()
 	h.cores[i], h.stop[i] = c, cancel
 	h.mu.Unlock()
-	h.group.Go(func() { _ = c.duties(ctx, h.cloud) })
+	h.group.Go(func() { _ = c.duties(ctx, frozenCloud{h.cloud, h.links[i]}) })
 	h.group.Go(func() {
 		for ctx.Err() == nil {
 			sleep(ctx, time.Second)
@@ -129,7 +129,7 @@
 				h.mu.Lock()
 				cut := h.cut[i] || h.cut[o]
 				h.mu.Unlock()
-				if o != i && p != nil && !cut {
+				if o != i && p != nil && !cut && h.links[i].Frozen() <= 0 && h.links[o].Frozen() <= 0 {
 					asked := time.Now()
 					sleep(ctx, 3*time.Millisecond)
 					c.heardPeer(mesh.Answer{Status: p.status(), Asked: asked})
@@ -139,6 +139,37 @@
 	})
 }
 
+// frozenCloud is the cloud as a process sees it that may stand still.
+type frozenCloud struct {
+	*standin.Cloud
+	link *standin.Link
+}
+
+func (f frozenCloud) Hire(ctx context.Context, r wire.Hire) ([]wire.MachineID, error) {
+	f.link.Thaw()
+	defer f.link.Thaw()
+	return f.Cloud.Hire(ctx, r)
+}
+
+func (f frozenCloud) Return(ctx context.Context, names []wire.MachineID) error {
+	f.link.Thaw()
+	defer f.link.Thaw()
+	return f.Cloud.Return(ctx, names)
+}
+
+// freeze makes a controller stand still: what it sends and is sent waits, and it finds
+// out by its own clock afterwards.
+func (h *history) freeze(ctx context.Context, i int, d time.Duration) {
+	h.links[i].Freeze(d)
+	ran := time.Now()
+	sleep(ctx, d)
+	if c := h.core(i); c != nil {
+		c.mu.Lock()
+		c.ranAt = ran
+		c.mu.Unlock()
+	}
+}
+
 func (h *history) crash(i int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -163,6 +194,17 @@
 			sleep(ctx, time.Second)
 			continue
 		}
+		if d := h.links[at].Frozen(); d > 0 {
+			// It waits at the door of a process that stands still, and is read late.
+			late := *r
+			h.group.Go(func() {
+				sleep(ctx, d+time.Duration(h.chance(900))*time.Millisecond)
+				_ = c.Report(ctx, &late)
+			})
+			at = (at + 1 + h.chance(2)) % 3
+			sleep(ctx, 4*time.Second)
+			continue
+		}
 		if h.chance(12) == 0 {
 			// This one is held back; the worker gives up and goes on elsewhere.
 			late, delay := *r, time.Duration(1+h.chance(40))*time.Second
@@ -181,7 +223,7 @@
 		case a.Status != 200:
 			at = (at + 1) % 3
 			sleep(ctx, time.Second)
-		case h.chance(15) == 0: // the answer is lost
+		case h.chance(15) == 0 || h.links[at].Frozen() > 0: // the answer is lost
 		default:
 			m.Answer(begun, r.Session, a.Response)
 		}
@@ -265,7 +307,19 @@
 // trouble makes one thing go wrong for a while.
 func (h *history) trouble(ctx context.Context) {
 	i, for_ := h.chance(3), time.Duration(2+h.chance(25))*time.Second
-	switch h.chance(9) {
+	switch h.chance(11) {
+	case 9:
+		h.freeze(ctx, i, 2*for_)
+	case 10: // in an outage
+		for _, l := range h.links {
+			l.SetDown(true)
+		}
+		h.group.Go(func() { h.freeze(ctx, i, for_+10*time.Second) })
+		sleep(ctx, for_)
+		h.store.Extend()
+		for _, l := range h.links {
+			l.SetDown(false)
+		}
 	case 0, 1:
 		h.crash(i)
 		sleep(ctx, 5*time.Second)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -55,6 +55,7 @@
 
 // term is one time as the leader, from the lease's grant to its end.
 func (c *Core) term(ctx context.Context, cl Cloud) error {
+	asked := time.Now()
 	lease, err := c.store.Grant(ctx, leaderTTL)
 	if err != nil {
 		return err
@@ -78,13 +79,20 @@
 	c.log.Info("leading the fleet", "token", token)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
+		units: map[wire.MachineID]*unit{}, boots: boots{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, dark: map[wire.Zone]time.Time{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now(), renewed: asked}
 	go func() {
 		for ctx.Err() == nil {
 			sleep(ctx, leaderRenew)
-			if err := c.store.Renew(ctx, lease); errors.Is(err, state.ErrNoLease) {
+			asked := time.Now()
+			err := c.store.Renew(ctx, lease)
+			if errors.Is(err, state.ErrNoLease) {
 				cancel(err)
 			}
 			c.mu.Lock()
+			if err == nil {
+				l.renewed = asked
+			}
 			_, now := c.led.Leader()
 			c.mu.Unlock()
 			if now != version {
@@ -92,8 +100,6 @@
 			}
 		}
 	}()
-	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
-		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, dark: map[wire.Zone]time.Time{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now()}
 	// Gangs must not wait for the cloud, which is slow, limited, and at times out.
 	placing := make(chan struct{})
 	go func() {
@@ -105,6 +111,11 @@
 		l.forgetPlacing()
 	}()
 	defer func() { cancel(nil); <-placing }()
+	c.mu.Lock()
+	l.recent = slices.Clone(c.led.Hires())
+	l.forgetHires(time.Now())
+	l.relearn = slices.Clone(l.recent)
+	c.mu.Unlock()
 	for ctx.Err() == nil {
 		if err := l.step(ctx); err != nil && ctx.Err() == nil {
 			c.log.Debug("fleet step", "err", err)
@@ -144,14 +155,18 @@
 	began    time.Time
 	hires    int
 	units    map[wire.MachineID]*unit
-	marking  map[markKey]*change          // asked for, perhaps not yet in the ledger
-	placing  map[wire.JobID]gangStart     // decided, and not yet known to be in the ledger
-	refused  map[fleet.Option]time.Time   // no capacity until
+	marking  map[markKey]*change        // asked for, perhaps not yet in the ledger
+	placing  map[wire.JobID]gangStart   // decided, and not yet known to be in the ledger
+	refused  map[fleet.Option]time.Time // no capacity until
+	recent   []ledger.HireIntent        // asked for lately, by predecessors too
+	relearn  []ledger.HireIntent        // whose outcome is not known in this term
+	boots    boots
 	dark     map[wire.Zone]time.Time      // cut off, to be left alone until
 	returned map[wire.MachineID]bool      // the cloud has confirmed it
 	released map[wire.MachineID]time.Time // when its claims were asked to be released
 	flavors  map[wire.MachineSKU]wire.Flavor
 	settled  time.Time // since when silence of machines counts
+	renewed  time.Time // when the last renewal of the lease was asked for that succeeded
 
 	flavorsAt, listAt time.Time
 	listed            bool
@@ -169,6 +184,9 @@
 			return err
 		}
 	}
+	if err := l.askAgain(ctx); err != nil {
+		return err
+	}
 	l.observe(time.Now())
 	l.watchZones(time.Now())
 	l.markLost(time.Now())
@@ -232,15 +250,16 @@
 	c := l.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.contact) > 3*time.Second {
-		l.settled = now
-	}
+	l.listen(now)
 	note := func(m *mesh.Machine, at time.Time, by wire.MemberID) {
 		u := l.units[m.ID]
 		if u == nil {
 			u = &unit{ListedMachine: wire.ListedMachine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot}, hired: at}
 			l.units[m.ID] = u
 		}
+		if u.heard.IsZero() {
+			l.boots.up(u, at)
+		}
 		if at.After(u.heard) {
 			u.Type, u.Zone, u.Spot = m.Type, m.Zone, m.Spot
 			u.heard, u.holder, u.recall, u.faulty = at, by, m.Recall != 0, m.Faulty
@@ -274,6 +293,18 @@
 	}
 }
 
+// listen keeps up since when silence of machines counts: not while this controller
+// itself was out of touch or stood still. Every judgement of silence asks it anew,
+// since a standstill may lie between two steps.
+func (l *leader) listen(now time.Time) {
+	if now.Sub(l.c.contact) > 3*time.Second {
+		l.settled = now
+	}
+	if since := l.c.awake(now); since.After(l.settled) {
+		l.settled = since
+	}
+}
+
 // lostAfter is how long a machine may be silent. One last heard by a controller
 // that is itself silent gets the time that its worker needs to find another, and
 // as long as the controller may go on answering alone.
@@ -295,6 +326,7 @@
 	c := l.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	l.listen(now)
 	silent := 2*c.set.Cluster.Workers.Report.Duration() + 2*time.Second
 	known, heard, total := map[wire.Zone]int{}, map[wire.Zone]int{}, 0
 	for _, u := range l.units {
@@ -328,6 +360,7 @@
 	c := l.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	l.listen(now)
 	for id, u := range l.units {
 		if k := c.led.Mark(id); k == ledger.Leaving || k == ledger.Gone {
 			continue
@@ -345,7 +378,7 @@
 			why = "taken back"
 		case !u.heard.IsZero() && silent > l.lostAfter(u, now):
 			why = "lost"
-		case u.heard.IsZero() && boot > 0 && now.Sub(u.hired) > 4*boot && now.Sub(l.settled) > l.c.set.Operators.LostAfter:
+		case u.heard.IsZero() && boot > 0 && now.Sub(u.hired) > l.boots.patience(u, boot) && now.Sub(l.settled) > l.c.set.Operators.LostAfter:
 			why = "never came up"
 		case u.faulty:
 			why = "faulty"
@@ -503,7 +536,7 @@
 		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
 			// One that is up but has yet to accept our token will take tasks in a
 			// moment; not to count it would rent another in its place.
-			Usable: booting && !now.Before(l.dark[u.Zone]) || !booting && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
+			Usable: booting && !now.Before(l.dark[u.Zone]) && !l.boots.overdue(u, f.Boot.Duration(), now) || !booting && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
 		if m := v.Machine(id); m != nil {
 			n.Caches = m.Images.Has
 			if under := m.Images.Under(); len(under) > 0 {
@@ -517,12 +550,8 @@
 		}
 	}
 	plan := fleet.Make(in)
-	// Machines that a predecessor rented may not be listed yet.
 	if now.Sub(l.began) < settle {
 		plan.Drain = nil
-		if l.began.Sub(c.boot) > settle {
-			plan.Hire = nil
-		}
 	}
 	for _, id := range plan.Drain {
 		// Nothing has been claimed there for a while. A start that comes at the very
@@ -530,30 +559,104 @@
 		l.setMark(id, ledger.Leaving, "idle")
 	}
 	c.mu.Unlock()
-	for _, need := range plan.Hire {
-		if err := l.hire(ctx, need); err != nil {
+	return l.rent(ctx, plan.Hire)
+}
+
+// unlisted is how long the cloud's list may not show a machine.
+func (l *leader) unlisted() time.Duration {
+	return 3*l.c.set.Cluster.Cloud.ListLag.Duration() + 5*time.Second
+}
+
+// forgetHires drops rentals that the list shows by now, and the oldest when there
+// are more than a value holds.
+func (l *leader) forgetHires(now time.Time) {
+	l.recent = slices.DeleteFunc(l.recent, func(h ledger.HireIntent) bool { return now.Sub(h.At.Time()) > l.unlisted() })
+	if over := len(l.recent) - l.c.set.ValueBytes()/ledger.HireBytes; over > 0 {
+		l.recent = l.recent[over:]
+	}
+}
+
+// askAgain finds out what predecessors rented that the list may not show yet. To
+// plan without it would rent the same again.
+func (l *leader) askAgain(ctx context.Context) error {
+	for len(l.relearn) > 0 {
+		h := l.relearn[0]
+		if err := l.hire(ctx, h); err != nil {
 			return err
 		}
+		l.relearn = l.relearn[1:]
 	}
 	return nil
 }
 
-func (l *leader) hire(ctx context.Context, need fleet.Need) error {
-	l.hires++
-	// The token is unique for ever, and so are names made from it.
-	name := wire.HireName(fmt.Sprintf("r-%d-%d", l.token, l.hires))
+// rent records what is to be rented, on the condition that this is still the
+// leader's term, and then asks the cloud. A leader that has stood still meanwhile
+// finds that another leads and rents nothing; one that stands still in between is
+// asked after by its successor.
+func (l *leader) rent(ctx context.Context, needs []fleet.Need) error {
+	if len(needs) == 0 {
+		return nil
+	}
 	now := time.Now()
-	count := min(need.Count, cloud.MaxHire)
-	got, err := l.cloud.Hire(ctx, wire.Hire{Request: name, Type: need.Type, Zone: need.Zone, Spot: need.Spot, Count: count})
-	l.c.log.Info("hire", "request", name, "type", need.Type, "zone", need.Zone, "spot", need.Spot, "count", count, "got", len(got), "err", err)
-	if errors.Is(err, cloud.ErrNoCapacity) || err == nil && len(got) < count {
-		l.refused[need.Option] = time.Now().Add(20 * time.Second)
+	l.forgetHires(now)
+	var asked []ledger.HireIntent
+	for _, n := range needs {
+		l.hires++
+		// The token is unique for ever, and so are names made from it.
+		name := wire.HireName(fmt.Sprintf("r-%d-%d", l.token, l.hires))
+		asked = append(asked, ledger.HireIntent{At: wire.UnixMillis(now.UnixMilli()),
+			Hire: wire.Hire{Request: name, Type: n.Type, Zone: n.Zone, Spot: n.Spot, Count: min(n.Count, cloud.MaxHire)}})
+	}
+	asked = asked[:min(len(asked), max(1, l.c.set.ValueBytes()/ledger.HireBytes))]
+	l.recent = append(l.recent, asked...)
+	l.forgetHires(now)
+	value, err := json.Marshal(ledger.HiresRecord{Recent: l.recent})
+	if err != nil {
+		return err
+	}
+	if err := l.c.commit(ctx, wire.Txn{If: []wire.Condition{{Key: ledger.LeaderKey, Version: l.version}},
+		Then: []wire.Change{{Put: ledger.HiresKey, Value: value}}}); err != nil {
+		return err
+	}
+	for _, h := range asked {
+		if err := l.hire(ctx, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// entitled reports whether this is certainly still the leader. It is asked at the
+// moment of sending: between a plan and its last request the process may stand still.
+func (l *leader) entitled(now time.Time) bool {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	_, version := l.c.led.Leader()
+	return version == l.version && now.Sub(l.renewed) < leaderTTL
+}
+
+var errNotEntitled = errors.New("controller: the leader's lease may be over")
+
+func (l *leader) hire(ctx context.Context, h ledger.HireIntent) error {
+	now := time.Now()
+	if !l.entitled(now) {
+		return errNotEntitled
+	}
+	got, err := l.cloud.Hire(ctx, h.Hire)
+	l.c.log.Info("hire", "request", h.Request, "type", h.Type, "zone", h.Zone, "spot", h.Spot, "count", h.Count, "got", len(got), "err", err)
+	if errors.Is(err, cloud.ErrNoCapacity) || err == nil && len(got) < h.Count {
+		l.refused[fleet.Option{Type: h.Type, Zone: h.Zone, Spot: h.Spot}] = time.Now().Add(20 * time.Second)
 	}
 	if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
 		return err
 	}
+	if hired := h.At.Time(); hired.Before(now) {
+		now = hired
+	}
 	for _, id := range got {
-		l.units[id] = &unit{ListedMachine: wire.ListedMachine{ID: id, Type: need.Type, Zone: need.Zone, Spot: need.Spot, State: wire.MachineBooting}, hired: now}
+		if l.units[id] == nil {
+			l.units[id] = &unit{ListedMachine: wire.ListedMachine{ID: id, Type: h.Type, Zone: h.Zone, Spot: h.Spot, State: wire.MachineBooting}, hired: now}
+		}
 	}
 	return nil
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -39,6 +39,11 @@
 	if !c.loaded || c.token == 0 {
 		return goElsewhere
 	}
+	if c.justBack(began) {
+		// The worker has given this report up long ago and reports elsewhere. To
+		// place there and to wait for it would only take tasks from others.
+		return goElsewhere
+	}
 	if began.Sub(c.reliedOn()) > c.set.ReportGrace() {
 		// A cancellation may have been told meanwhile, and every answer renews
 		// the lease of tasks that must then be gone.
--- a/internal/controller/zones_test.go
+++ b/internal/controller/zones_test.go
@@ -28,7 +28,8 @@
 		{"heard again", 3, time.Minute, time.Second, false},
 	} {
 		c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
-		l := &leader{c: c, began: now.Add(-time.Hour), settled: now.Add(-tc.settled), units: map[wire.MachineID]*unit{}, dark: map[wire.Zone]time.Time{}}
+		c.contact = now
+		l := &leader{c: c, boots: boots{}, began: now.Add(-time.Hour), settled: now.Add(-tc.settled), units: map[wire.MachineID]*unit{}, dark: map[wire.Zone]time.Time{}}
 		add := func(id wire.MachineID, z wire.Zone, heard time.Time) {
 			l.units[id] = &unit{ListedMachine: wire.ListedMachine{ID: id, Zone: z}, heard: heard}
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -144,6 +144,7 @@
 
 	cancelled wire.Revision // of the newest cancellation, or later
 
+	hires     HiresRecord
 	token     TokenRecord
 	tokenVer  wire.Revision
 	leader    LeaderRecord
@@ -243,6 +244,9 @@
 // holds. A controller tells a user of one only when its ledger holds it.
 func (l *Ledger) LastCancel() wire.Revision { return l.cancelled }
 
+// Hires returns the rentals that were asked for lately.
+func (l *Ledger) Hires() []HireIntent { return l.hires.Recent }
+
 // Token returns the token counter and its version.
 func (l *Ledger) Token() (TokenRecord, wire.Revision) { return l.token, l.tokenVer }
 
@@ -314,6 +318,11 @@
 		return nil
 	}
 	switch e.Key {
+	case HiresKey:
+		if e.Value != nil {
+			l.hires = HiresRecord{}
+			return json.Unmarshal(e.Value, &l.hires)
+		}
 	case TokenKey:
 		if e.Version > l.tokenVer && e.Value != nil {
 			l.tokenVer = e.Version
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -22,6 +22,7 @@
 const (
 	LeaderKey = Prefix + "leader"
 	TokenKey  = Prefix + "token"
+	HiresKey  = Prefix + "hires"
 
 	jobPrefix     = Prefix + "j/"
 	chunkPrefix   = Prefix + "t/"
@@ -168,6 +169,22 @@
 	Token  wire.Token    `json:"token"`
 }
 
+// HireIntent is a rental that a leader asks the cloud for. The cloud answers a
+// repeated request as it did the first, so whoever reads this can ask what came of it.
+type HireIntent struct {
+	wire.Hire
+	At wire.UnixMillis `json:"at"`
+}
+
+// HiresRecord holds the rentals that the cloud's list may not show yet. It is
+// written before the cloud is asked.
+type HiresRecord struct {
+	Recent []HireIntent `json:"recent"`
+}
+
+// HireBytes is about what a rental takes of the record.
+const HireBytes = 200
+
 func splitChunkKey(rest string) (wire.JobID, int, bool) {
 	id, n, ok := strings.Cut(rest, "/")
 	i, err := strconv.Atoi(n)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -187,10 +187,11 @@
 
 // Link is one controller's way to the store, with its troubles.
 type Link struct {
-	Store *Store
-	mu    sync.Mutex
-	rng   *rand.Rand
-	down  bool
+	Store  *Store
+	mu     sync.Mutex
+	rng    *rand.Rand
+	down   bool
+	frozen time.Time // until when its process stands still
 	// Lossy is the share of transactions whose answer is lost; half of those
 	// are applied late.
 	Lossy float64
@@ -218,7 +219,30 @@
 	return l.down, l.rng.Float64(), delay
 }
 
+// Freeze holds back all that is sent and all that is answered over the link, however
+// long the caller is ready to wait: its process stands still.
+func (l *Link) Freeze(d time.Duration) {
+	l.mu.Lock()
+	l.frozen = time.Now().Add(d)
+	l.mu.Unlock()
+}
+
+// Frozen is how long the link's process goes on standing still.
+func (l *Link) Frozen() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Until(l.frozen)
+}
+
+// Thaw returns once the link's process runs.
+func (l *Link) Thaw() {
+	for d := l.Frozen(); d > 0; d = l.Frozen() {
+		time.Sleep(d)
+	}
+}
+
 func (l *Link) travel(ctx context.Context) error {
+	l.Thaw()
 	down, _, delay := l.roll()
 	select {
 	case <-time.After(delay):
@@ -262,6 +286,7 @@
 // Commit implements state.Store. A lost answer leaves the caller in the dark; a
 // lost request may be applied seconds later.
 func (l *Link) Commit(ctx context.Context, t wire.Txn) (wire.Revision, error) {
+	defer l.Thaw()
 	if err := l.travel(ctx); err != nil {
 		return 0, err
 	}
@@ -289,6 +314,7 @@
 // Watch implements state.Store.
 func (l *Link) Watch(ctx context.Context, prefix string, after wire.Revision, wait time.Duration) (wire.Events, error) {
 	end := time.After(wait)
+	defer l.Thaw()
 	for {
 		if err := l.travel(ctx); err != nil {
 			return wire.Events{}, err
