Failures are told to peers; claims are kept as pairs, huge arrays in longer ranges

A suspect job is tried with one task at growing intervals, comes after all others and rents nothing; a task that fails everywhere rests by itself.

Claims are written as pairs behind one set of names, so a record holds up to 256 tasks; its exits of a report are one change.

--- a/internal/controller/commit_test.go
+++ b/internal/controller/commit_test.go
@@ -47,7 +47,8 @@
 	exit := func(job, task int) *change {
 		return &change{done: make(chan error, 1), draft: func(d *ledger.Draft) error {
 			j := c.led.Job(id(job))
-			return d.Exit(j, ledger.Claim{Attempt: 1, Machine: "host-1", Session: 1, Token: 1}, wire.TaskIndex(task), true)
+			_, err := d.Exit(j, ledger.Claim{Attempt: 1, Machine: "host-1", Zone: "a", Session: 1, Token: 1}, []wire.TaskIndex{wire.TaskIndex(task)}, true)
+			return err
 		}}
 	}
 	var queue []*change
@@ -79,7 +80,8 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	c.writeBatch(ctx, []*change{{done: make(chan error, 1), draft: func(d *ledger.Draft) error {
-		return d.Exit(c.led.Job("wk-000001"), ledger.Claim{Attempt: 1, Machine: "host-1", Session: 1, Token: 1}, 0, true)
+		_, err := d.Exit(c.led.Job("wk-000001"), ledger.Claim{Attempt: 1, Machine: "host-1", Zone: "a", Session: 1, Token: 1}, []wire.TaskIndex{0}, true)
+		return err
 	}}})
 	if len(s.sizes) != 1 || ctx.Err() != nil {
 		t.Errorf("batches of %v changes with a budget of two", s.sizes)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -84,11 +84,13 @@
 
 // jobNotes is what a controller remembers of a job besides its record.
 type jobNotes struct {
-	since  time.Time // pending since, as seen here
-	retry  time.Time
-	errors int
-	avoid  map[wire.MachineID]time.Time
-	taken  int // tasks whose start is decided here but not yet in the ledger
+	since    time.Time // pending since, as seen here
+	retry    time.Time
+	done     int // tasks done when last looked at
+	failures failures
+	tasks    map[wire.TaskIndex]*failures // of those that failed
+	avoid    map[wire.MachineID]time.Time
+	taken    int // tasks whose start is decided here but not yet in the ledger
 }
 
 // New returns a controller that hasn't read anything yet.
@@ -108,6 +110,24 @@
 		})
 	}
 	gauge("jobs_active", func() float64 { _, n := c.led.Counts(); return float64(n) })
+	gauge("jobs_suspect", func() float64 {
+		k := 0
+		for id := range c.jobs {
+			if c.suspect(id) {
+				k++
+			}
+		}
+		return float64(k)
+	})
+	gauge("machines_faulty", func() float64 {
+		k := 0
+		for _, w := range c.workers {
+			if c.faulty(w, time.Now()) {
+				k++
+			}
+		}
+		return float64(k)
+	})
 	gauge("machines_held", func() float64 { return float64(len(c.workers)) })
 	gauge("ledger_revision", func() float64 { return float64(c.led.Revision()) })
 	gauge("contact_age_seconds", func() float64 { return time.Since(c.contact).Seconds() })
@@ -437,6 +457,7 @@
 	for _, o := range c.classes {
 		s.Classes = append(s.Classes, *o)
 	}
+	s.Suspects = c.suspects(now)
 	for _, w := range c.workers {
 		if now.Sub(w.Heard) > 2*time.Minute {
 			continue
@@ -464,6 +485,7 @@
 		c.peers[a.Status.Member] = p
 	}
 	p.status, p.asked = a.Status, a.Asked
+	c.hearSuspects(a.Status.Suspects, a.Asked)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -137,6 +137,7 @@
 	var entries []place.Entry
 	c.led.Active(func(j *ledger.Job) {
 		n := c.notes(j.ID)
+		n.acquit(j)
 		if j.Pending() == 0 {
 			n.since = time.Time{}
 			return
@@ -149,10 +150,17 @@
 				delete(n.avoid, m)
 			}
 		}
-		entries = append(entries, place.Entry{Job: j, Retry: n.retry, Waiting: now.Sub(n.since), Taken: &n.taken, Avoid: func(m wire.MachineID) bool {
+		e := place.Entry{Job: j, Retry: n.retry, Waiting: now.Sub(n.since), Taken: &n.taken, Resting: n.atRest(now), Avoid: func(m wire.MachineID) bool {
 			_, bad := n.avoid[m]
 			return bad
-		}})
+		}}
+		if n.failures.blamed() {
+			e.Suspect = true
+			if n.failures.until.After(e.Retry) {
+				e.Retry = n.failures.until
+			}
+		}
+		entries = append(entries, e)
 	})
 	for id := range c.jobs {
 		if j := c.led.Job(id); j == nil || j.State != ledger.Active {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -208,19 +208,12 @@
 		switch e.Cause {
 		case wire.CauseDone:
 			clear(w.Errors) // a machine that completes work is not the one at fault
-			n.errors = 0
 			if e.Ran > 0 && j.Spec.Estimate > 0 {
 				c.classes.note(j.Spec.Class, e.Ran, j.Spec.Estimate.Duration())
 			}
 			im.Used(j.Spec.Image, j.Spec.ImageGB)
 		case wire.CauseError:
-			w.Errors[j.ID] = now
-			n.errors++
-			n.avoid[w.ID] = now
-			if len(n.avoid) > 1 {
-				// It fails wherever it runs: the job is at fault, not the machines.
-				n.retry = now.Add(min(time.Minute, time.Second<<min(6, n.errors)))
-			}
+			c.failed(w, &e, now)
 		case wire.CauseNoRoom:
 			w.NoPlace = now.Add(2 * c.set.Cluster.Workers.Report.Duration())
 		case wire.CauseBusy:
@@ -242,23 +235,6 @@
 	return n
 }
 
-// avoidFor is how long a job keeps off a machine where it failed.
-const avoidFor = 3 * time.Minute
-
-// faulty reports whether a machine is to blame for its tasks' errors: jobs that
-// are not failing elsewhere fail there.
-func (c *Core) faulty(w *workers.Worker, now time.Time) bool {
-	n := 0
-	for id, at := range w.Errors {
-		if now.Sub(at) > 10*time.Minute {
-			delete(w.Errors, id)
-		} else if j := c.jobs[id]; j == nil || len(j.avoid) < 2 {
-			n++
-		}
-	}
-	return n >= 2
-}
-
 // usable reports whether a machine may be given tasks. A worker just taken over
 // must first report under our token.
 func (c *Core) usable(w *workers.Worker, now time.Time) bool {
@@ -303,21 +279,36 @@
 	return out
 }
 
+// draftExits records what is over, together what was one claim and ended alike.
 func (c *Core) draftExits(d *ledger.Draft, id wire.JobID, list []workers.Exit) error {
 	j := c.led.Job(id)
 	if j == nil {
 		return ledger.ErrStale
 	}
-	err := ledger.ErrStale
+	type group struct {
+		claim ledger.Claim
+		part  int
+		done  bool
+	}
+	tasks := map[group][]wire.TaskIndex{}
+	var order []group
 	for _, e := range list {
-		done := e.Cause == wire.CauseDone
-		switch er := d.Exit(j, e.Held.Claim, e.Task, done); er {
+		g := group{e.Held.Claim, e.Held.Range(), e.Cause == wire.CauseDone}
+		g.claim.First, g.claim.Count = 0, 0 // pieces of one start go together
+		if tasks[g] == nil {
+			order = append(order, g)
+		}
+		tasks[g] = append(tasks[g], e.Task)
+	}
+	err := ledger.ErrStale
+	for _, g := range order {
+		switch _, er := d.Exit(j, g.claim, tasks[g], g.done); er {
 		case nil:
 			err = nil
-			if !done && j.Spec.Shape == wire.Gang && j.Spec.Tasks > 1 && j.State == ledger.Active {
+			if !g.done && j.Spec.Shape == wire.Gang && j.Spec.Tasks > 1 && j.State == ledger.Active {
 				// The gang has lost a member: its others stop and save if they
 				// still can, and all start again together.
-				_ = d.StopGang(j, e.Held.Attempt)
+				_ = d.StopGang(j, g.claim.Attempt)
 			}
 		case ledger.ErrStale:
 		default:
@@ -380,7 +371,8 @@
 			if j.Spec.Shape == wire.Gang {
 				er = d.ClaimGang(j, []ledger.Placed{{Site: site, Count: s.Count}})
 			} else {
-				_, er = d.Claim(j, site, s.Count)
+				n := c.notes(j.ID)
+				_, er = d.Claim(j, site, s.Count, func(t wire.TaskIndex) bool { return n.resting(t, time.Now()) })
 			}
 			if er == nil {
 				err = nil
--- /dev/null
+++ b/internal/controller/suspects_test.go
@@ -0,0 +1,131 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"maddermill/internal/fleet"
+	"maddermill/internal/ledger"
+	"maddermill/internal/mesh"
+	"maddermill/internal/place"
+	"maddermill/internal/workers"
+	"maddermill/wire"
+)
+
+func addJob(c *Core, i int, shape wire.Shape, tasks int, done string) *ledger.Job {
+	id := wire.JobID(fmt.Sprintf("wk-%06d", i))
+	c.led.Apply(ledger.Event{Key: "mm1/j/" + string(id), Version: wire.Revision(i + 1),
+		Value: []byte(fmt.Sprintf(`{"spec":{"id":"%s","pieces":%d,"shape":"%s","owner":"free","cores":1},"at":1,"a":1,"d":"%s"}`, id, tasks, shape, done))})
+	return c.led.Job(id)
+}
+
+// TestMistakenJobBesideBadMachine: failures of one job on several machines, whichever
+// controllers saw them, speak against the job; of several jobs on one machine against
+// the machine. On a day with mistaken jobs nineteen good machines were returned: each
+// controller knew only of its own machines, and a cancelled job counted as a witness.
+func TestMistakenJobBesideBadMachine(t *testing.T) {
+	c := quietCore(t, 0)
+	now := time.Now()
+	c.contact = now
+	machine := func(id wire.MachineID) *workers.Worker {
+		w := workers.NewWorker(&wire.Report{Machine: id}, now)
+		c.workers[id] = w
+		return w
+	}
+	bad, good, other := machine("host-bad"), machine("host-good"), machine("host-other")
+	fail := func(j *ledger.Job, w *workers.Worker, task wire.TaskIndex, at time.Time) {
+		c.failed(w, &workers.Exit{Held: ledger.Held{Job: j, Claim: ledger.Claim{Count: 1}}, Task: task, Cause: wire.CauseError}, at)
+	}
+	mistaken, cancelled := addJob(c, 1, wire.Array, 20, ""), addJob(c, 2, wire.Array, 1, "")
+	one, two := addJob(c, 3, wire.Array, 1, ""), addJob(c, 4, wire.Array, 1, "")
+	fail(mistaken, good, 0, now)
+	fail(cancelled, good, 0, now)
+	if !c.faulty(good, now) {
+		t.Error("two jobs failed there, neither known to fail elsewhere: not held against the machine")
+	}
+	// A peer saw one of them fail elsewhere; the other's user gives up.
+	c.heardPeer(mesh.Answer{Asked: now, Status: mesh.Status{Member: "m-1", Suspects: []mesh.Suspect{{Job: mistaken.ID, Machines: []wire.MachineID{"host-far"}}}}})
+	if !c.suspect(mistaken.ID) || c.faulty(good, now) {
+		t.Errorf("suspect %v, machine faulty %v after a peer told of a second machine", c.suspect(mistaken.ID), c.faulty(good, now))
+	}
+	c.led.Apply(ledger.Event{Key: "mm1/j/wk-000002", Version: 9, Value: []byte(`{"spec":{"id":"wk-000002","pieces":1,"shape":"array"},"at":1,"state":"cancelled"}`)})
+	fail(one, bad, 0, now)
+	fail(mistaken, bad, 1, now)
+	if c.faulty(bad, now) {
+		t.Error("one job's failure and a suspect's are held against a machine")
+	}
+	fail(two, bad, 0, now)
+	if !c.faulty(bad, now) || c.faulty(good, now) || c.faulty(other, now) {
+		t.Errorf("faulty: %v %v %v, want only the first", c.faulty(bad, now), c.faulty(good, now), c.faulty(other, now))
+	}
+
+	entry := func(id wire.JobID, at time.Time) *place.Entry {
+		queue := c.order(at)
+		for i := range queue {
+			if queue[i].Job.ID == id {
+				return &queue[i]
+			}
+		}
+		return nil
+	}
+	// It rests for longer each time, is tried with one task, after all others, and
+	// nothing is rented for it.
+	rest, last := time.Duration(0), now
+	for range 4 {
+		e := entry(mistaken.ID, last)
+		if !e.Suspect || e.Retry.Sub(last) <= rest {
+			t.Fatalf("suspect %v, rests %v after %v", e.Suspect, e.Retry.Sub(last), rest)
+		}
+		rest = e.Retry.Sub(last)
+		last = e.Retry
+		fail(mistaken, other, 0, last)
+	}
+	queue := c.order(now)
+	if got := queue[len(queue)-1].Job.ID; got != mistaken.ID {
+		t.Errorf("%s comes last, want the suspect", got)
+	}
+	plan := fleet.Make(&fleet.Input{Now: last.Add(time.Hour), Queue: []place.Entry{*entry(mistaken.ID, last)},
+		Flavors:  map[wire.MachineSKU]wire.Flavor{"g2": {Name: "g2", CPUs: 8, Price: 1, Boot: 20, Zones: []wire.Zone{"a"}}},
+		TeamRoom: func(_ *ledger.Job, _ ledger.Resources, most int) int { return most }, Refused: func(fleet.Option) bool { return false }})
+	if len(plan.Hire) > 0 {
+		t.Errorf("rents %v for a suspect", plan.Hire)
+	}
+	m := &place.Machine{ID: "host-new", Type: "g2", Usable: true, Total: ledger.NewResources(8, 0, 0), Free: ledger.NewResources(8, 0, 0), Images: place.NewImages(10)}
+	v := &place.View{Now: last.Add(time.Hour), Queue: []place.Entry{*entry(mistaken.ID, last)}, Limits: place.Limits{ColdStarts: 9}, Machines: []*place.Machine{m},
+		TeamRoom: func(_ *ledger.Job, _ ledger.Resources, most int) int { return most }}
+	if s := place.OnRoom(v, m); len(s) != 1 || s[0].Count != 1 {
+		t.Errorf("a suspect of 20 tasks is tried with %v", s)
+	}
+	// A task of it completes: it is as good as any other.
+	c.led.Apply(ledger.Event{Key: "mm1/j/wk-000001", Version: 10, Value: []byte(`{"spec":{"id":"wk-000001","pieces":20,"shape":"array","owner":"free","cores":1},"at":1,"a":1,"d":"BAA="}`)})
+	if e := entry(mistaken.ID, last); e.Suspect {
+		t.Error("still suspect after a task completed")
+	}
+}
+
+// TestBadTaskOfAGoodArray: a task that fails everywhere rests while the array's other
+// tasks go on.
+func TestBadTaskOfAGoodArray(t *testing.T) {
+	c := quietCore(t, 0)
+	now := time.Now()
+	j := addJob(c, 1, wire.Array, 8, "")
+	for i := range 3 {
+		w := workers.NewWorker(&wire.Report{Machine: wire.MachineID(fmt.Sprint("host-", i))}, now)
+		c.failed(w, &workers.Exit{Held: ledger.Held{Job: j}, Task: 5, Cause: wire.CauseError}, now)
+	}
+	c.led.Apply(ledger.Event{Key: "mm1/j/wk-000001", Version: 9, Value: []byte(`{"spec":{"id":"wk-000001","pieces":8,"shape":"array","owner":"free","cores":1},"at":1,"a":1,"d":"AQ=="}`)})
+	queue := c.order(now)
+	if len(queue) != 1 || queue[0].Suspect || queue[0].Resting != 1 {
+		t.Fatalf("%+v, want no suspect and one task at rest", queue)
+	}
+	n := c.notes(j.ID)
+	d := c.led.NewDraft()
+	got, err := d.Claim(j, ledger.Site{Machine: "host-9", Zone: "a", Session: 1, Token: 1}, 8, func(t wire.TaskIndex) bool { return n.resting(t, now) })
+	if got != 6 || err != nil {
+		t.Errorf("%d tasks claimed (%v), want all but the one done and the one at rest", got, err)
+	}
+	if later := now.Add(firstRest << 1); n.resting(5, later) || !n.resting(5, now.Add(time.Second)) {
+		t.Error("the task does not rest for a while and then come back")
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -125,6 +125,9 @@
 	open := slices.DeleteFunc(slices.Clone(slots), full)
 	for i := range in.Queue {
 		j := in.Queue[i].Job
+		if in.Queue[i].Suspect {
+			continue // nothing is rented for what fails everywhere
+		}
 		left := in.TeamRoom(j, extra[j.Spec.Team], j.Pending())
 		if left <= 0 || in.Now.Before(in.Queue[i].Retry) {
 			continue
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 
@@ -43,6 +44,7 @@
 	stop   wire.Attempt
 	spec   *wire.JobSpec
 	at     wire.UnixMillis
+	size   int // tasks a record; 0: the usual
 	chunks map[int]*chunkRecord
 }
 
@@ -59,6 +61,9 @@
 	w := d.jobs[j.ID]
 	if w == nil {
 		w = &draftJob{job: j, state: j.State, stop: j.Stop, spec: j.Spec, at: j.Accepted, chunks: map[int]*chunkRecord{}}
+		if j.chunkTasks != d.l.limits.ChunkTasks() {
+			w.size = j.chunkTasks
+		}
 		d.jobs[j.ID] = w
 	}
 	return w
@@ -107,7 +112,7 @@
 
 // MarshalJSON writes the job's record.
 func (w *draftJob) MarshalJSON() ([]byte, error) {
-	return json.Marshal(jobRecord{Spec: w.spec, Accepted: w.at, State: w.state, Stop: w.stop, chunkRecord: *w.chunk(0)})
+	return json.Marshal(jobRecord{Spec: w.spec, Accepted: w.at, State: w.state, Stop: w.stop, Range: w.size, chunkRecord: *w.chunk(0)})
 }
 
 // try runs a change and undoes it when the transaction would grow too large.
@@ -214,15 +219,22 @@
 		if spec.Shape == wire.Gang && spec.Tasks > (d.l.limits.TxnOps-1)*d.l.limits.ChunkTasks() {
 			return fmt.Errorf("%w: a gang starts in one transaction", ErrTooLarge)
 		}
-		j := &Job{ID: spec.ID, Spec: spec, Accepted: at}
+		j := &Job{ID: spec.ID, Spec: spec, Accepted: at, chunkTasks: d.l.rangeFor(spec)}
+		long := j.chunkTasks > 0
+		if !long {
+			j.chunkTasks = d.l.limits.ChunkTasks()
+		}
 		w := d.job(j)
 		d.write(w, 0)
 		b, err := json.Marshal(w)
 		if err != nil {
 			return err
 		}
+		if long && len(b) > specBytes {
+			return ErrTooLarge
+		}
 		// Every task may come to have a claim of its own in the record.
-		if len(b)+min(spec.Tasks, d.l.limits.ChunkTasks())*claimBytes > d.l.limits.ValueBytes {
+		if !long && len(b)+min(spec.Tasks, j.chunkTasks)*claimBytes > d.l.limits.ValueBytes {
 			return ErrTooLarge
 		}
 		return nil
@@ -315,8 +327,8 @@
 }
 
 // Claim claims up to count pending tasks of an array or service for a site and
-// returns how many it got.
-func (d *Draft) Claim(j *Job, site Site, count int) (int, error) {
+// returns how many it got. Tasks that rest, if it is given, are left out.
+func (d *Draft) Claim(j *Job, site Site, count int, rests func(wire.TaskIndex) bool) (int, error) {
 	got := 0
 	err := d.try(func() error {
 		w := d.job(j)
@@ -327,17 +339,33 @@
 			return err
 		}
 		count = min(count, zoneRoom(j.Spec, site.Zone, w.eachClaim), d.teamRoom(j, count))
-		size := d.l.limits.ChunkTasks()
-		for n := 0; n*size < j.Spec.Tasks && got < count; n++ {
-			if c := j.chunks[n]; c != nil && w.chunks[n] == nil && c.doneCount()+c.claimed() >= min(size, j.Spec.Tasks-n*size) {
+		size := j.chunkTasks
+		ranges := (j.Spec.Tasks + size - 1) / size
+		// Machines begin at different ranges of a large job, so that controllers that
+		// start tasks of it at the same time seldom write the same record.
+		begin := 0
+		if ranges > 1 {
+			begin = int(spreadOf(site.Machine) % uint32(ranges))
+		}
+		for k := 0; k < ranges && got < count; k++ {
+			n := (begin + k) % ranges
+			if c := j.chunks[n]; c != nil && w.chunks[n] == nil && c.done+c.held >= min(size, j.Spec.Tasks-n*size) {
 				continue
 			}
+			old := w.chunks[n]
 			c := w.chunk(n)
-			free := pendingIn(c, n, size, j.Spec.Tasks, count-got)
+			free := pendingIn(c, n, size, j.Spec.Tasks, count-got, rests)
+			free = free[:d.roomIn(w, n, free, site)]
 			if len(free) == 0 {
+				if old == nil {
+					delete(w.chunks, n)
+				}
 				continue
 			}
-			if got > 0 && n > 1 && len(d.puts) >= d.l.limits.TxnOps-1 {
+			if got > 0 && len(d.puts) >= d.most-1 {
+				if old == nil {
+					delete(w.chunks, n)
+				}
 				break // the rest goes into a later transaction
 			}
 			c.Attempt++
@@ -365,6 +393,46 @@
 	return got, nil
 }
 
+// spreadOf is a number that tells machines apart.
+func spreadOf(m wire.MachineID) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(m))
+	return h.Sum32()
+}
+
+// roomIn is how many of the tasks, as one start, a range's record has room for however
+// its tasks end. A record that an exit would make too large could never be written.
+func (d *Draft) roomIn(w *draftJob, n int, tasks []wire.TaskIndex, site Site) int {
+	if w.size == 0 || len(tasks) == 0 {
+		return len(tasks)
+	}
+	c := w.chunk(n)
+	size := 64 + w.size/6 + 8 // the rest of the record, done tasks among it
+	if n == 0 {
+		size += specBytes
+	}
+	size += claimList(c.Claims).worstBytes() + claimBytes
+	k := 0
+	for i := 0; i < len(tasks); {
+		end := i + 1
+		for end < len(tasks) && tasks[end] == tasks[end-1]+1 {
+			end++
+		}
+		for piece := end - i; piece > 0; piece-- {
+			if size+(piece+1)/2*pairBytes <= d.l.limits.ValueBytes {
+				size += (piece + 1) / 2 * pairBytes
+				k = i + piece
+				break
+			}
+		}
+		if k < end {
+			break
+		}
+		i = end
+	}
+	return k
+}
+
 // Placed is one machine's part of a gang.
 type Placed struct {
 	Site  Site
@@ -384,11 +452,11 @@
 		if standing {
 			return ErrStale
 		}
-		size := d.l.limits.ChunkTasks()
+		size := j.chunkTasks
 		attempt := w.chunk(0).Attempt + 1
 		var todo []wire.TaskIndex
 		for n := 0; n*size < j.Spec.Tasks; n++ {
-			todo = append(todo, pendingIn(w.chunk(n), n, size, j.Spec.Tasks, size)...)
+			todo = append(todo, pendingIn(w.chunk(n), n, size, j.Spec.Tasks, size, nil)...)
 		}
 		total := len(todo)
 		if total == 0 || d.teamRoom(j, total) < total {
@@ -478,49 +546,58 @@
 	}
 }
 
-// Exit removes a task's claim on proof that the task is gone, and with done
-// records that it has completed. A claim other than the one proven gone is not
-// touched.
-func (d *Draft) Exit(j *Job, claim Claim, task wire.TaskIndex, done bool) error {
-	return d.try(func() error {
+// Exit removes tasks' claim on proof that they are gone, and with done records that
+// they have completed. A claim other than the one proven gone is not touched; how many
+// there were is told. All tasks are of one range: those of a Held are.
+func (d *Draft) Exit(j *Job, claim Claim, tasks []wire.TaskIndex, done bool) (int, error) {
+	n := int(tasks[0]) / j.chunkTasks
+	gone := 0
+	err := d.try(func() error {
 		w := d.job(j)
-		size := d.l.limits.ChunkTasks()
-		n := int(task) / size
 		c := w.chunk(n)
-		at := slices.IndexFunc(c.Claims, func(o Claim) bool {
-			return o.covers(task) && o.Attempt == claim.Attempt && o.Machine == claim.Machine &&
-				o.Session == claim.Session && o.Token == claim.Token
-		})
-		if at < 0 {
+		for _, task := range tasks {
+			at := slices.IndexFunc(c.Claims, func(o Claim) bool { return o.covers(task) && o.sameStart(&claim) })
+			if at < 0 || int(task)/j.chunkTasks != n {
+				continue
+			}
+			c.Claims = without(c.Claims, at, task)
+			gone++
+			if done && j.Spec.Shape != wire.Service {
+				c.setDone(int(task) % j.chunkTasks)
+			}
+		}
+		if gone == 0 {
 			return ErrStale
 		}
-		c.Claims = without(c.Claims, at, task)
-		d.usage[j.Spec.Team] = d.usage[j.Spec.Team].Add(j.Need, -1)
+		d.usage[j.Spec.Team] = d.usage[j.Spec.Team].Add(j.Need, -gone)
 		d.write(w, n)
-		if !done || j.Spec.Shape == wire.Service {
-			return nil
-		}
-		i := int(task) % size
-		for len(c.Done) <= i/8 {
-			c.Done = append(c.Done, 0)
-		}
-		c.Done[i/8] |= 1 << (i % 8)
-		if w.state == Active && w.allDone(size) {
+		if done && w.state == Active && w.allDone() {
 			w.state = Done
 			d.write(w, 0)
 		}
 		return nil
 	})
+	if err != nil {
+		return 0, err
+	}
+	return gone, nil
+}
+
+func (c *chunkRecord) setDone(i int) {
+	for len(c.Done) <= i/8 {
+		c.Done = append(c.Done, 0)
+	}
+	c.Done[i/8] |= 1 << (i % 8)
 }
 
-func (w *draftJob) allDone(size int) bool {
-	total := 0
-	for n := 0; n*size < w.spec.Tasks; n++ {
-		var c *Chunk
-		if r := w.chunks[n]; r != nil {
-			c = &Chunk{chunkRecord: *r}
-		} else if c = w.job.chunks[n]; c == nil {
-			return false
+func (w *draftJob) allDone() bool {
+	if w.spec.Shape == wire.Service {
+		return false
+	}
+	total := w.job.Done
+	for n, c := range w.chunks {
+		if old := w.job.chunks[n]; old != nil {
+			total -= old.done
 		}
 		total += c.doneCount()
 	}
@@ -544,7 +621,7 @@
 	})
 }
 
-func pendingIn(c *chunkRecord, n, size, tasks, most int) []wire.TaskIndex {
+func pendingIn(c *chunkRecord, n, size, tasks, most int, rests func(wire.TaskIndex) bool) []wire.TaskIndex {
 	length := min(size, tasks-n*size)
 	taken := make([]bool, length)
 	for _, cl := range c.Claims {
@@ -552,11 +629,10 @@
 			taken[int(cl.First)+i-n*size] = true
 		}
 	}
-	view := Chunk{chunkRecord: *c}
 	var free []wire.TaskIndex
 	for i := 0; i < length && len(free) < most; i++ {
-		if !taken[i] && !view.isDone(i) {
-			free = append(free, wire.TaskIndex(n*size+i))
+		if t := wire.TaskIndex(n*size + i); !taken[i] && !c.isDone(i) && (rests == nil || !rests(t)) {
+			free = append(free, t)
 		}
 	}
 	return free
@@ -594,7 +670,7 @@
 func (d *Draft) Finish(j *Job) error {
 	return d.try(func() error {
 		w := d.job(j)
-		if w.state != Active || j.Spec.Shape == wire.Service || !w.allDone(d.l.limits.ChunkTasks()) {
+		if w.state != Active || !w.allDone() {
 			return ErrStale
 		}
 		w.state = Done
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"math/bits"
@@ -21,31 +22,61 @@
 // claimBytes is what a claim takes of a value at the most, names included.
 const claimBytes = 96
 
+// specBytes is what a job's description takes of its record at the most.
+const specBytes = 1200
+
 // ChunkTasks is how many tasks share a record: in the worst case each has a
 // claim of its own, and all must fit beside the job's description.
 func (l *Limits) ChunkTasks() int {
-	return min(400, max(4, (l.ValueBytes-1200)/claimBytes))
+	return min(400, max(4, (l.ValueBytes-specBytes)/claimBytes))
+}
+
+// longRange is how many tasks of a large array share a record, at the most.
+const longRange = 256
+
+// startsPerRange is how many starts a record of a large array must at least have room
+// for, counted in machines that are filled with its tasks.
+const startsPerRange = 12
+
+// rangeFor is how many tasks of a job share a record; 0: so few that each may have a
+// claim of its own. Tasks of a huge array end many at a time and its machines take many
+// at a time, so longer ranges save changes; but then only so many starts have room in a
+// record, which a claim that finds none respects. A gang's tasks must all find room.
+func (l *Ledger) rangeFor(s *wire.JobSpec) int {
+	if s.Shape != wire.Array {
+		return 0
+	}
+	need, each := NewResources(s.CPUs, s.GPUs, s.MemoryGB), 0
+	for _, f := range l.flavors {
+		each = max(each, NewResources(f.CPUs, f.GPUs, f.MemoryGB).Times(need, s.Tasks))
+	}
+	n := min(longRange, startsPerRange*each)
+	if usual := l.limits.ChunkTasks(); s.Tasks <= 2*usual || n < 2*usual || l.limits.ValueBytes < specBytes+n/6+startsPerRange*claimBytes+n*pairBytes/2 {
+		return 0
+	}
+	return n
 }
 
 // Chunk is a range of a job's tasks as last seen.
 type Chunk struct {
 	Version wire.Revision
 	chunkRecord
+	done, held int // tasks
 }
 
-func (c *Chunk) isDone(i int) bool {
-	return i/8 < len(c.chunkRecord.Done) && c.chunkRecord.Done[i/8]&(1<<(i%8)) != 0
+func (c *chunkRecord) isDone(i int) bool {
+	return i/8 < len(c.Done) && c.Done[i/8]&(1<<(i%8)) != 0
 }
 
-func (c *Chunk) doneCount() int {
+func (c *chunkRecord) doneCount() int {
 	n := 0
-	for _, b := range c.chunkRecord.Done {
+	for _, b := range c.Done {
 		n += bits.OnesCount8(b)
 	}
 	return n
 }
 
-func (c *Chunk) claimed() int {
+func (c *chunkRecord) claimed() int {
 	n := 0
 	for i := range c.Claims {
 		n += c.Claims[i].Count
@@ -125,6 +156,9 @@
 	chunk int
 }
 
+// Range tells which range of the job's tasks the claim is in.
+func (h *Held) Range() int { return h.chunk }
+
 // Ledger is the mirror. It isn't safe for concurrent use.
 type Ledger struct {
 	limits   Limits
@@ -352,7 +386,7 @@
 		return strconv.ErrSyntax
 	}
 	if j == nil {
-		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{}, chunkTasks: l.limits.ChunkTasks(),
+		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{}, chunkTasks: cmp.Or(r.Range, l.limits.ChunkTasks()),
 			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB)}
 		l.jobs[id] = j
 	}
@@ -360,13 +394,13 @@
 		l.cancelled = max(l.cancelled, e.Version)
 	}
 	j.State, j.Stop = r.State, r.Stop
-	l.replace(j, 0, &Chunk{e.Version, r.chunkRecord})
+	l.replace(j, 0, &Chunk{Version: e.Version, chunkRecord: r.chunkRecord})
 	if j.State == Active {
 		l.active[id] = j
 	} else {
 		delete(l.active, id)
 	}
-	if j.Spec.Tasks > l.limits.ChunkTasks() && len(l.orphans) > 0 {
+	if j.Spec.Tasks > j.chunkTasks && len(l.orphans) > 0 {
 		for key, o := range l.orphans {
 			if oid, n, ok := splitChunkKey(strings.TrimPrefix(key, chunkPrefix)); ok && oid == id {
 				delete(l.orphans, key)
@@ -395,19 +429,22 @@
 func (l *Ledger) replace(j *Job, n int, c *Chunk) {
 	team := j.Spec.Team
 	if old := j.chunks[n]; old != nil {
-		j.Done -= old.doneCount()
-		k := old.claimed()
-		j.Claimed -= k
-		l.usage[team] = l.usage[team].Add(j.Need, -k)
+		j.Done -= old.done
+		j.Claimed -= old.held
+		l.usage[team] = l.usage[team].Add(j.Need, -old.held)
+		var last wire.MachineID
 		for i := range old.Claims {
-			l.unhold(old.Claims[i].Machine, j, n)
+			if m := old.Claims[i].Machine; m != last {
+				l.unhold(m, j, n)
+				last = m
+			}
 		}
 	}
 	j.chunks[n] = c
-	j.Done += c.doneCount()
-	k := c.claimed()
-	j.Claimed += k
-	l.usage[team] = l.usage[team].Add(j.Need, k)
+	c.done, c.held = c.doneCount(), c.claimed()
+	j.Done += c.done
+	j.Claimed += c.held
+	l.usage[team] = l.usage[team].Add(j.Need, c.held)
 	for _, cl := range c.Claims {
 		l.held[cl.Machine] = append(l.held[cl.Machine], Held{j, cl, n})
 		l.touched[cl.Machine] = struct{}{}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -114,14 +114,14 @@
 						_ = d.ClaimGang(j, parts)
 					}
 				} else {
-					_, _ = d.Claim(j, site(machine, wire.Token(who+1)), 1+rng.IntN(5))
+					_, _ = d.Claim(j, site(machine, wire.Token(who+1)), 1+rng.IntN(5), nil)
 				}
 			default:
 				j.Claims(func(c ledger.Claim) bool {
 					t := c.First + wire.TaskIndex(rng.IntN(c.Count))
 					one := c
 					one.First, one.Count = t, 1
-					if d.Exit(j, c, t, rng.IntN(2) == 0) == nil {
+					if _, err := d.Exit(j, c, []wire.TaskIndex{t}, rng.IntN(2) == 0); err == nil {
 						id := wire.TaskID{Job: j.ID, Index: t}
 						proven[id] = append(proven[id], one)
 					}
@@ -208,7 +208,7 @@
 	run(func(d *ledger.Draft) error { return d.Submit(s, 1) })
 	j := l.Job(s.ID)
 	for j.Pending() > 0 {
-		run(func(d *ledger.Draft) error { _, err := d.Claim(j, site(1, 1), 20); return err })
+		run(func(d *ledger.Draft) error { _, err := d.Claim(j, site(1, 1), 20, nil); return err })
 	}
 	for i := range 50 {
 		if j.State != ledger.Active {
@@ -217,7 +217,8 @@
 		run(func(d *ledger.Draft) error {
 			var claim ledger.Claim
 			j.Claims(func(c ledger.Claim) bool { claim = c; return false })
-			return d.Exit(j, claim, claim.First, true)
+			_, err := d.Exit(j, claim, []wire.TaskIndex{claim.First}, true)
+			return err
 		})
 	}
 	if j.State != ledger.Done || j.Done != 50 || l.HeldBy("host-1") != nil {
@@ -251,7 +252,7 @@
 	j := l.Job(s.ID)
 	for j.Pending() > 0 {
 		d = l.NewDraft()
-		if _, err := d.Claim(j, site(0, 1), 3*size); err != nil {
+		if _, err := d.Claim(j, site(0, 1), 3*size, nil); err != nil {
 			t.Fatal(err)
 		}
 		apply(d)
@@ -260,7 +261,7 @@
 		d := l.NewDraft()
 		j.Claims(func(c ledger.Claim) bool {
 			if int(c.First) <= task && task < int(c.First)+c.Count {
-				if err := d.Exit(j, c, wire.TaskIndex(task), true); err != nil && !errors.Is(err, ledger.ErrStale) {
+				if _, err := d.Exit(j, c, []wire.TaskIndex{wire.TaskIndex(task)}, true); err != nil && !errors.Is(err, ledger.ErrStale) {
 					t.Fatal(err)
 				}
 			}
@@ -290,3 +291,99 @@
 		t.Errorf("the job is %q", j.State)
 	}
 }
+
+// TestHugeArray: the tasks of a huge array that many machines take at once end in the
+// worst order there is, every other one first, and some of them fail. Every value stays
+// within the store's limit, nothing is stuck, and the changes are a small part of the
+// tasks. An array whose claims fell into pieces of a hundred bytes each once needed
+// records of thirty tasks, and nine changes for a machine's start alone.
+func TestHugeArray(t *testing.T) {
+	lim := ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: state.TxnBytes}
+	l := ledger.New(lim)
+	store := standin.NewStore(lim.TxnOps, lim.ValueBytes)
+	changes := 0
+	apply := func(d *ledger.Draft) {
+		t.Helper()
+		txn, err := d.Txn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		rev, err := store.Apply(txn)
+		if err != nil {
+			t.Fatal(err, store.Problems)
+		}
+		changes += len(txn.Then)
+		for _, c := range txn.Then {
+			l.Apply(ledger.Event{Key: c.Put, Value: c.Value, Version: rev})
+		}
+	}
+	l.Apply(ledger.Event{Key: ledger.FlavorKey("g4"), Version: 1,
+		Value: []byte(`{"sku":"g4","cores":48,"accelerators":4,"ram_gb":288,"yards":["a","b"]}`)})
+	const tasks = 5000
+	s := &wire.JobSpec{ID: "wk-000001", Class: "c", Team: "free", Shape: wire.Array, Priority: wire.Low, Tasks: tasks, CPUs: 0.25, Image: "i"}
+	d := l.NewDraft()
+	if err := d.Submit(s, 1); err != nil {
+		t.Fatal(err)
+	}
+	apply(d)
+	j := l.Job(s.ID)
+	rng := rand.New(rand.NewPCG(1, 2))
+	starts, exits := 0, 0
+	for round := 0; j.State == ledger.Active; round++ {
+		if round > 2000 {
+			t.Fatalf("%d of %d done after %d rounds", j.Done, tasks, round)
+		}
+		m := site(rng.IntN(40), 1)
+		if len(l.HeldBy(m.Machine)) == 0 {
+			d := l.NewDraft()
+			if _, err := d.Claim(j, m, 192, nil); err == nil {
+				apply(d)
+				starts++
+			}
+			continue
+		}
+		// One report: every other task that is there is over.
+		over := map[int]map[ledger.Claim][]wire.TaskIndex{}
+		for _, h := range l.HeldBy(m.Machine) {
+			one := h.Claim
+			one.First, one.Count = 0, 0
+			if over[h.Range()] == nil {
+				over[h.Range()] = map[ledger.Claim][]wire.TaskIndex{}
+			}
+			for i := 0; i < h.Count; i += 2 {
+				over[h.Range()][one] = append(over[h.Range()][one], h.First+wire.TaskIndex(i))
+			}
+		}
+		for _, claims := range over {
+			for claim, list := range claims {
+				d := l.NewDraft()
+				if n, err := d.Exit(j, claim, list, rng.IntN(20) > 0); err != nil || n != len(list) {
+					t.Fatalf("%d of %d exits: %v", n, len(list), err)
+				}
+				apply(d)
+				exits++
+			}
+		}
+	}
+	if j.Done != tasks || j.Claimed != 0 {
+		t.Errorf("%d done, %d claimed", j.Done, j.Claimed)
+	}
+	if changes > tasks/2 {
+		t.Errorf("%d changes for %d tasks (%d starts, %d exits)", changes, tasks, starts, exits)
+	}
+	t.Logf("%d changes for %d tasks: %d starts, %d exits", changes, tasks, starts, exits)
+}
+
+// TestEarlierFormOfClaims: records that an earlier version wrote are read.
+func TestEarlierFormOfClaims(t *testing.T) {
+	l := ledger.New(limits)
+	l.Apply(ledger.Event{Key: "mm1/j/wk-000001", Version: 1,
+		Value: []byte(`{"spec":{"id":"wk-000001","pieces":9,"shape":"array","owner":"free"},"at":1,"a":2,"c":[[0,2,1,"host-1","a",1,1],[4,3,2,"host-2","b",5,6]]}`)})
+	var got []ledger.Claim
+	l.Job("wk-000001").Claims(func(c ledger.Claim) bool { got = append(got, c); return true })
+	want := []ledger.Claim{{First: 0, Count: 2, Attempt: 1, Machine: "host-1", Zone: "a", Session: 1, Token: 1},
+		{First: 4, Count: 3, Attempt: 2, Machine: "host-2", Zone: "b", Session: 5, Token: 6}}
+	if !slices.Equal(got, want) {
+		t.Errorf("read %+v", got)
+	}
+}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -6,8 +6,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -101,24 +103,84 @@
 	Token   wire.Token
 }
 
-// MarshalJSON writes the claim as an array: values are small at some places.
-func (c Claim) MarshalJSON() ([]byte, error) {
-	return json.Marshal([]any{c.First, c.Count, c.Attempt, c.Machine, c.Zone, c.Session, c.Token})
+// claimList is a range's claims as they are written: values are small at some places,
+// and tasks of one start end in any order. What one start holds is one array, of
+// attempt, machine, zone, session, token and then pairs of first task and count, so
+// that a claim that has fallen into pieces costs a pair for each and not its names.
+type claimList []Claim
+
+// sameStart reports whether two claims are pieces of one.
+func (c *Claim) sameStart(o *Claim) bool {
+	return c.Attempt == o.Attempt && c.Machine == o.Machine && c.Zone == o.Zone && c.Session == o.Session && c.Token == o.Token
+}
+
+// MarshalJSON writes the claims start by start.
+func (l claimList) MarshalJSON() ([]byte, error) {
+	var starts [][]any
+	var of []*Claim
+next:
+	for i := range l {
+		c := &l[i]
+		for k, o := range of {
+			if o.sameStart(c) {
+				starts[k] = append(starts[k], c.First, c.Count)
+				continue next
+			}
+		}
+		of = append(of, c)
+		starts = append(starts, []any{c.Attempt, c.Machine, c.Zone, c.Session, c.Token, c.First, c.Count})
+	}
+	return json.Marshal(starts)
 }
 
-// UnmarshalJSON reads what MarshalJSON wrote.
-func (c *Claim) UnmarshalJSON(b []byte) error {
-	fields := []any{&c.First, &c.Count, &c.Attempt, &c.Machine, &c.Zone, &c.Session, &c.Token}
-	n := len(fields)
-	if err := json.Unmarshal(b, &fields); err != nil {
+// UnmarshalJSON reads what MarshalJSON wrote, and the form of earlier versions: an
+// array a claim, of first task, count, attempt, machine, zone, session and token.
+func (l *claimList) UnmarshalJSON(b []byte) error {
+	var starts [][]json.RawMessage
+	if err := json.Unmarshal(b, &starts); err != nil {
 		return err
 	}
-	if len(fields) != n {
-		return fmt.Errorf("ledger: claim of %d fields", len(fields))
+	*l = nil
+	for _, s := range starts {
+		if len(s) < 7 || len(s)%2 == 0 {
+			return fmt.Errorf("ledger: claim of %d fields", len(s))
+		}
+		var c Claim
+		names, pairs := s[:5], s[5:]
+		if s[1][0] != '"' {
+			names, pairs = s[2:], s[:2]
+		}
+		for i, f := range []any{&c.Attempt, &c.Machine, &c.Zone, &c.Session, &c.Token} {
+			if err := json.Unmarshal(names[i], f); err != nil {
+				return err
+			}
+		}
+		for ; len(pairs) > 0; pairs = pairs[2:] {
+			if err := errors.Join(json.Unmarshal(pairs[0], &c.First), json.Unmarshal(pairs[1], &c.Count)); err != nil {
+				return err
+			}
+			*l = append(*l, c)
+		}
 	}
 	return nil
 }
 
+// pairBytes is what a piece of a claim takes of a value at the most.
+const pairBytes = 10
+
+// worstBytes is what the claims take at the most, however their tasks end: a piece
+// falls into half as many as it has tasks.
+func (l claimList) worstBytes() int {
+	sum := 0
+	for i := range l {
+		if !slices.ContainsFunc(l[:i], func(o Claim) bool { return o.sameStart(&l[i]) }) {
+			sum += claimBytes
+		}
+		sum += (l[i].Count + 1) / 2 * pairBytes
+	}
+	return sum
+}
+
 func (c *Claim) covers(t wire.TaskIndex) bool {
 	return t >= c.First && int(t-c.First) < c.Count
 }
@@ -127,7 +189,7 @@
 type chunkRecord struct {
 	Attempt wire.Attempt `json:"a,omitempty"` // last attempt given out
 	Done    []byte       `json:"d,omitempty"` // a bit a task
-	Claims  []Claim      `json:"c,omitempty"`
+	Claims  claimList    `json:"c,omitempty"`
 }
 
 // jobRecord is a job; the first range of its tasks is kept in it.
@@ -135,7 +197,8 @@
 	Spec     *wire.JobSpec   `json:"spec"`
 	Accepted wire.UnixMillis `json:"at"`
 	State    JobState        `json:"state,omitempty"`
-	Stop     wire.Attempt    `json:"stop,omitempty"` // gangs up to this attempt are to stop
+	Stop     wire.Attempt    `json:"stop,omitempty"`  // gangs up to this attempt are to stop
+	Range    int             `json:"range,omitempty"` // tasks a record; 0: as many as may each have a claim
 	chunkRecord
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -50,6 +50,16 @@
 	Loaded    bool          `cbor:"7,keyasint" json:"ld"`          // its ledger has been read whole
 	Machines  []Machine     `cbor:"8,keyasint" json:"m,omitempty"` // that it holds
 	Classes   []ClassSum    `cbor:"9,keyasint" json:"cl,omitempty"`
+	Suspects  []Suspect     `cbor:"10,keyasint,omitempty" json:"sp,omitempty"`
+}
+
+// Suspect is a job whose tasks failed, since so many of them were done.
+type Suspect struct {
+	Job      wire.JobID       `cbor:"1,keyasint" json:"j"`
+	Done     int              `cbor:"2,keyasint" json:"d"`
+	Machines []wire.MachineID `cbor:"3,keyasint" json:"m"`
+	Rounds   int              `cbor:"4,keyasint" json:"n"`
+	RestMS   int64            `cbor:"5,keyasint" json:"r"` // until it is tried again
 }
 
 // ClassSum is what a controller has seen of a class's run times, in seconds.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -141,6 +141,8 @@
 	Avoid   func(wire.MachineID) bool
 	Waiting time.Duration // how long it has been pending
 	Taken   *int          // tasks whose start is decided but not yet in the ledger
+	Resting int           // tasks that are not to be tried now
+	Suspect bool          // it fails wherever it runs, as far as known
 
 	Expected time.Duration // how long a task is expected to run
 	StartBy  time.Time     // when tasks must start for the job to meet its aims
@@ -148,10 +150,16 @@
 
 // pending is how many tasks there are to place.
 func (e *Entry) pending() int {
+	n := e.Job.Pending() - e.Resting
+	taken := 0
 	if e.Taken != nil {
-		return max(0, e.Job.Pending()-*e.Taken)
+		taken = *e.Taken
 	}
-	return e.Job.Pending()
+	if e.Suspect && e.Job.Spec.Shape != wire.Gang {
+		// One task is enough to find out whether it still fails.
+		n = min(n, 1-e.Job.Claimed)
+	}
+	return max(0, n-taken)
 }
 
 // alike is how close the times by which jobs must start may be for none to count
@@ -175,15 +183,17 @@
 	})
 }
 
-// class orders by priority and by standing towards a guarantee.
+// class orders by priority and by standing towards a guarantee. A job that is believed
+// to fail wherever it runs comes after all others: it must not cost them a machine.
 func (e *Entry) class(o *Entry) int {
-	beyond := func(e *Entry) int {
-		if e.Beyond {
+	mark := func(b bool) int {
+		if b {
 			return 1
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(e.Job.Spec.Priority.Rank(), o.Job.Spec.Priority.Rank()), cmp.Compare(beyond(e), beyond(o)))
+	return cmp.Or(cmp.Compare(mark(e.Suspect), mark(o.Suspect)), cmp.Compare(e.Job.Spec.Priority.Rank(), o.Job.Spec.Priority.Rank()),
+		cmp.Compare(mark(e.Beyond), mark(o.Beyond)))
 }
 
 // startBy puts jobs that can meet no aim any more behind those that can.
@@ -640,7 +650,7 @@
 	for i := range v.Queue {
 		e := &v.Queue[i]
 		j := e.Job
-		if j.Spec.Shape != wire.Gang || j.Pending() == 0 || e.Waiting < v.Limits.WithholdAfter || v.Now.Before(e.Retry) {
+		if j.Spec.Shape != wire.Gang || j.Pending() == 0 || e.Suspect || e.Waiting < v.Limits.WithholdAfter || v.Now.Before(e.Retry) {
 			continue
 		}
 		need := min(j.Together(), v.TeamRoom(j, ledger.Resources{}, j.Together()))
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -75,7 +75,7 @@
 // that caches it is worth emptying.
 func (v *View) chooseEviction(e *Entry) *Eviction {
 	j := e.Job
-	if v.Victims == nil || j.Together() > 1 || e.pending() == 0 || v.Now.Before(e.Retry) || v.TeamRoom(j, ledger.Resources{}, 1) < 1 {
+	if v.Victims == nil || e.Suspect || j.Together() > 1 || e.pending() == 0 || v.Now.Before(e.Retry) || v.TeamRoom(j, ledger.Resources{}, 1) < 1 {
 		return nil
 	}
 	type option struct {
