Best-effort work leaves half of the budget of changes to all other work

Changes of best-effort work now come last and leave half a transaction's changes; a machine is given tasks of no more jobs at once than a transaction records; `start` is logged once it is on record.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"maddermill/internal/ledger"
@@ -16,6 +17,9 @@
 	draft func(*ledger.Draft) error
 	drop  bool // a start: given up after until
 	until time.Time
+	spare bool // of work that only takes what others leave
+	asked time.Time
+	made  func()     // called once it is durable, if given
 	done  chan error // gets one value
 }
 
@@ -23,7 +27,7 @@
 
 // enqueue adds a change to the next batch.
 func (c *Core) enqueue(ch *change) {
-	ch.done = make(chan error, 1)
+	ch.done, ch.asked = make(chan error, 1), time.Now()
 	select {
 	case c.submitted <- ch:
 	default:
@@ -67,6 +71,10 @@
 				break gather
 			}
 		}
+		if c.waits(queue, time.Now()) {
+			sleep(ctx, c.batchEvery()/2)
+			continue
+		}
 		began := time.Now()
 		queue = c.writeBatch(ctx, queue)
 		if rest := c.batchEvery() - time.Since(began); rest > 0 {
@@ -109,6 +117,26 @@
 	return out
 }
 
+// spareAfter is how long changes of work that takes what others leave, other than its
+// starts, come after all others.
+const spareAfter = 10 * time.Second
+
+// isSpare reports whether a change is to leave room in the budget for others.
+func (ch *change) isSpare(now time.Time) bool {
+	return ch.spare && (ch.drop || now.Sub(ch.asked) < spareAfter)
+}
+
+// reserve is the part of the budget that spare changes leave: a start of other work
+// that comes the next moment must not wait for it to grow back.
+func (c *Core) reserve() int { return c.set.Cluster.State.TxnOps / 2 }
+
+// waits reports whether a queue holds spare changes only, and the budget little more
+// than what they are to leave.
+func (c *Core) waits(queue []*change, now time.Time) bool {
+	return c.store.Changes() < c.reserve()+c.leastBatch()+changesForUsers &&
+		!slices.ContainsFunc(queue, func(ch *change) bool { return !ch.isSpare(now) || ch.drop && now.After(ch.until) })
+}
+
 // writeBatch commits as many changes as fit and returns those left. A batch larger
 // than what the budget has left would wait for it, be given up, and be drafted anew
 // for ever; one that leaves nothing would keep users waiting. Changes after the one
@@ -135,7 +163,22 @@
 			ch.done <- err
 		}
 	}
-	for i, ch := range alternate(queue) {
+	queue = alternate(queue)
+	slices.SortStableFunc(queue, func(a, b *change) int {
+		switch x, y := a.isSpare(now), b.isSpare(now); {
+		case x == y:
+			return 0
+		case y:
+			return -1
+		}
+		return 1
+	})
+	spare := false
+	for i, ch := range queue {
+		if !spare && ch.isSpare(now) {
+			spare = true
+			d.Limit(changes - c.reserve())
+		}
 		switch {
 		case ch.drop && now.After(ch.until):
 			ch.done <- errDropped
@@ -145,7 +188,7 @@
 			add(d, ch)
 		}
 	}
-	if len(in) == 0 && len(left) > 0 {
+	if len(in) == 0 && len(left) > 0 && !left[0].isSpare(now) {
 		// The first alone is more than the budget has room for: let it wait.
 		first := left[0]
 		left = left[1:]
@@ -165,6 +208,9 @@
 	}
 	if err == nil {
 		for _, ch := range in {
+			if ch.made != nil {
+				ch.made()
+			}
 			ch.done <- nil
 		}
 		return left
--- a/internal/controller/commit_test.go
+++ b/internal/controller/commit_test.go
@@ -103,3 +103,58 @@
 		t.Errorf("order %s", got)
 	}
 }
+
+// TestSpareChangesLeaveRoom: changes of work that only takes what others leave come
+// after all others and leave half of a transaction's changes of the budget, but do not
+// wait for ever, except starts, which expire. A guest's huge array once took all changes,
+// and urgent starts waited for the budget to grow back.
+func TestSpareChangesLeaveRoom(t *testing.T) {
+	set := testSettings(t, 0)
+	now := time.Now()
+	mark := func(c *Core, i int, spare bool, age time.Duration) *change {
+		return &change{done: make(chan error, 1), spare: spare, asked: now.Add(-age), draft: func(d *ledger.Draft) error {
+			_, err := d.Cancel(c.led.Job(wire.JobID(fmt.Sprintf("wk-%06d", i))))
+			return err
+		}}
+	}
+	for _, tc := range []struct {
+		name     string
+		budget   int
+		others   int
+		spare    int
+		age      time.Duration
+		waits    bool
+		made     int
+		lastKind bool // what is last in the transaction is spare
+	}{
+		{"others only", 10, 12, 0, 0, false, 8, false},
+		{"others first", 12, 3, 9, 0, false, 4, true},
+		{"spare alone, plenty of budget", 16, 0, 9, 0, false, 8, true},
+		{"spare alone, little budget", 10, 0, 9, 0, true, 0, false},
+		{"spare alone for long", 10, 0, 9, time.Minute, false, 8, false},
+	} {
+		s := &scarce{Store: standin.NewLink(standin.NewStore(set.Cluster.State.TxnOps, set.ValueBytes()), 1), budget: tc.budget}
+		c := New(set, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c.loaded = true
+		var queue []*change
+		for i := range tc.spare + tc.others {
+			addJob(c, i, wire.Array, 1, "")
+			queue = append(queue, mark(c, i, i < tc.spare, tc.age))
+		}
+		if got := c.waits(queue, now); got != tc.waits {
+			t.Errorf("%s: waits %v", tc.name, got)
+		}
+		if tc.waits {
+			continue
+		}
+		left := c.writeBatch(t.Context(), queue)
+		if len(s.sizes) != 1 || s.sizes[0] != tc.made {
+			t.Errorf("%s: batches of %v changes, want %d", tc.name, s.sizes, tc.made)
+		}
+		for _, ch := range left {
+			if !ch.spare && tc.lastKind {
+				t.Errorf("%s: others are left behind", tc.name)
+			}
+		}
+	}
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -490,8 +490,8 @@
 	for _, g := range place.Gangs(c.view(now)) {
 		j, parts := g.Entry.Job, g.Parts
 		id, n := j.ID, j.Pending()
-		c.log.Info("start", "job", id, "tasks", n, "machines", len(parts))
-		ch := &change{drop: true, until: now.Add(2 * time.Second), draft: func(d *ledger.Draft) error {
+		made := func() { c.log.Info("start", "job", id, "tasks", n, "machines", len(parts)) }
+		ch := &change{drop: true, until: now.Add(2 * time.Second), made: made, draft: func(d *ledger.Draft) error {
 			j := c.led.Job(id)
 			if j == nil || slices.ContainsFunc(parts, func(p ledger.Placed) bool { return c.free(p.Site).Times(j.Need, p.Count) < p.Count }) {
 				return ledger.ErrStale // a holder has given the room away meanwhile
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -29,7 +29,7 @@
 func (c *Core) look(now time.Time) *place.View {
 	c.led.Touched(func(wire.MachineID) {}) // all are read anew
 	v := &place.View{Now: now, Queue: c.order(now), TeamRoom: c.led.TeamRoom, Machines: c.machines(now),
-		Limits: place.Limits{ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
+		Limits: place.Limits{Starts: c.set.Cluster.State.TxnOps, ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
 			WithholdAfter: c.set.Operators.WithholdAfter, DeferCold: 3 * c.set.Cluster.Workers.Report.Duration()}}
 	if c.set.Operators.Preempt {
 		v.Victims = func(m *place.Machine) []place.Victim { return c.victims(m, v.Now) }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -98,8 +98,8 @@
 			v := c.view(now)
 			starts = place.OnRoom(v, v.Put(c.machineOf(w, now)))
 		}
-		if len(starts) > 0 {
-			ch := c.startChange(w, starts, began.Add(reportWait))
+		made := c.startChanges(w, starts, began.Add(reportWait))
+		for _, ch := range made {
 			c.enqueue(ch)
 			waits = append(waits, ch)
 		}
@@ -242,6 +242,10 @@
 	return known && w.Fresh && w.Recall.IsZero() && c.led.Mark(w.ID) == "" && !now.Before(w.NoPlace) && !c.faulty(w, now)
 }
 
+// isSpare reports whether a job only takes what others leave, also of the budget of
+// changes.
+func isSpare(j *ledger.Job) bool { return j.Spec.Priority == wire.Low }
+
 // exitChanges makes one change a job out of what is over.
 func (c *Core) exitChanges(exits []workers.Exit) []*change {
 	byJob := map[*ledger.Job][]workers.Exit{}
@@ -255,7 +259,7 @@
 	var out []*change
 	for _, j := range order {
 		list := byJob[j]
-		out = append(out, &change{draft: func(d *ledger.Draft) error { return c.draftExits(d, j.ID, list) }})
+		out = append(out, &change{spare: isSpare(j), draft: func(d *ledger.Draft) error { return c.draftExits(d, j.ID, list) }})
 	}
 	return out
 }
@@ -343,17 +347,44 @@
 	}
 }
 
-// startChange returns the claim to commit for what a machine is given.
-func (c *Core) startChange(w *workers.Worker, starts []place.Start, until time.Time) *change {
-	m := place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold}
-	site := m.Site()
+// startChanges returns the claims to commit for what a machine is given: those of
+// work that takes what others leave by themselves.
+func (c *Core) startChanges(w *workers.Worker, starts []place.Start, until time.Time) []*change {
+	var first, spare []place.Start
 	for _, s := range starts {
 		// Other reports that come meanwhile must not be given the same tasks.
 		c.notes(s.Job.ID).taken += s.Count
-		c.log.Info("start", "job", s.Job.ID, "tasks", s.Count, "machine", w.ID, "image", s.How)
-		c.Stats.Add("starts_"+string(s.How)+"_total", 1)
+		if isSpare(s.Job) {
+			spare = append(spare, s)
+		} else {
+			first = append(first, s)
+		}
+	}
+	var out []*change
+	if len(first) > 0 {
+		out = append(out, c.startChange(w, first, until))
+	}
+	if len(spare) > 0 {
+		ch := c.startChange(w, spare, until)
+		ch.spare = true
+		out = append(out, ch)
+	}
+	return out
+}
+
+// startChange returns the claim to commit for some of what a machine is given.
+func (c *Core) startChange(w *workers.Worker, starts []place.Start, until time.Time) *change {
+	m := place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold}
+	site := m.Site()
+	var claimed []place.Start // by the draft made last
+	made := func() {
+		for _, s := range claimed {
+			c.log.Info("start", "job", s.Job.ID, "tasks", s.Count, "machine", w.ID, "image", s.How)
+			c.Stats.Add("starts_"+string(s.How)+"_total", 1)
+		}
 	}
-	return &change{drop: true, until: until, draft: func(d *ledger.Draft) error {
+	return &change{drop: true, until: until, made: made, draft: func(d *ledger.Draft) error {
+		claimed = nil
 		if c.workers[w.ID] != w || w.Session != site.Session || w.Hold != site.Token {
 			return ledger.ErrStale
 		}
@@ -375,6 +406,7 @@
 				_, er = d.Claim(j, site, s.Count, func(t wire.TaskIndex) bool { return n.resting(t, time.Now()) })
 			}
 			if er == nil {
+				claimed = append(claimed, s)
 				err = nil
 			} else if er == ledger.ErrFull && err != nil {
 				return er
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -57,6 +57,9 @@
 		usage: map[wire.Team]Resources{}, conds: map[string]wire.Revision{}, puts: map[string]any{}, sizes: map[string]int{}}
 }
 
+// Limit leaves room for no more than so many changes, or as many as there are.
+func (d *Draft) Limit(changes int) { d.most = max(len(d.puts), min(d.most, changes)) }
+
 func (d *Draft) job(j *Job) *draftJob {
 	w := d.jobs[j.ID]
 	if w == nil {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,6 +19,7 @@
 	ColdStarts    int           // fetches in flight at a controller's machines
 	FetchMark     time.Duration // how long a start counts as fetching unseen
 	WithholdAfter time.Duration // how long a gang heads the order before room is kept
+	Starts        int           // jobs that a machine is given tasks of at once, 0: no bound
 	DeferCold     time.Duration // how long a task waits for a machine that caches its image
 }
 
@@ -343,9 +344,12 @@
 		// What this pass has given the team isn't in the ledger yet.
 		return v.TeamRoom(j, teamTaken[j.Spec.Team], n)
 	}
-	for first, end := 0, 0; first < len(queue) && free.Fits(least); first = end {
+	// What can't be recorded in one transaction need not be decided: of a swarm of tiny
+	// jobs a machine could take hundreds.
+	more := func() bool { return free.Fits(least) && (v.Limits.Starts == 0 || len(starts) < v.Limits.Starts) }
+	for first, end := 0, 0; first < len(queue) && more(); first = end {
 		var absent []*Entry // of the same priority and standing, for want of the image
-		for end = first; end < len(queue) && queue[end].class(&queue[first]) == 0 && free.Fits(least); end++ {
+		for end = first; end < len(queue) && queue[end].class(&queue[first]) == 0 && more(); end++ {
 			v.Looked++
 			e := &queue[end]
 			j := e.Job
@@ -371,7 +375,7 @@
 		}
 		for _, e := range absent {
 			n := room(e)
-			if n <= 0 {
+			if n <= 0 || !more() {
 				continue
 			}
 			if fetches == 0 && cold < v.Limits.ColdStarts && !v.waitsForCached(e, m) && !v.waitsForRoom(e) &&
