--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -56,6 +56,7 @@
 	surplus    surplus
 	withheld   map[wire.MachineID]wire.JobID
 	making     map[wire.MachineID]room
+	asking     map[wire.MachineID]room // as the leader: what holders are asked to empty
 
 	barriers   chan *barrier
 	pendingMu  sync.Mutex
@@ -98,7 +99,7 @@
 	c := &Core{set: set, store: store, log: log, Stats: metrics.New(), boot: time.Now(),
 		advanced: make(chan struct{}), workers: map[wire.MachineID]*workers.Worker{},
 		images: map[wire.MachineID]*imageState{}, peers: map[wire.MemberID]*peer{}, told: map[wire.MemberID]time.Time{},
-		jobs: map[wire.JobID]*jobNotes{}, classes: classSums{}, claimed: map[claimKey]time.Time{}, withheld: map[wire.MachineID]wire.JobID{}, making: map[wire.MachineID]room{},
+		jobs: map[wire.JobID]*jobNotes{}, classes: classSums{}, claimed: map[claimKey]time.Time{}, withheld: map[wire.MachineID]wire.JobID{}, making: map[wire.MachineID]room{}, asking: map[wire.MachineID]room{},
 		barriers: make(chan *barrier, 1), wantToken: make(chan wire.Token, 1),
 		submitted: make(chan *change, 4096), userCommit: make(chan struct{}, 32)}
 	c.led = ledger.New(c.limits())
@@ -457,7 +458,7 @@
 	for _, o := range c.classes {
 		s.Classes = append(s.Classes, *o)
 	}
-	s.Suspects = c.suspects(now)
+	s.Suspects, s.Emptying = c.suspects(now), c.asked(now)
 	for _, w := range c.workers {
 		if now.Sub(w.Heard) > 2*time.Minute {
 			continue
@@ -486,6 +487,7 @@
 	}
 	p.status, p.asked = a.Status, a.Asked
 	c.hearSuspects(a.Status.Suspects, a.Asked)
+	c.hearEmptying(a.Status.Member, a.Status.Emptying, a.Asked, time.Now())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -161,6 +161,7 @@
 	recent   []ledger.HireIntent        // asked for lately, by predecessors too
 	relearn  []ledger.HireIntent        // whose outcome is not known in this term
 	boots    boots
+	madeRoom time.Time                    // when room for gangs was last looked for
 	dark     map[wire.Zone]time.Time      // cut off, to be left alone until
 	returned map[wire.MachineID]bool      // the cloud has confirmed it
 	released map[wire.MachineID]time.Time // when its claims were asked to be released
@@ -502,6 +503,10 @@
 		l.placing[id] = gangStart{ch, n}
 		c.enqueue(ch)
 	}
+	if now.Sub(l.madeRoom) > pictureFor {
+		l.madeRoom = now
+		c.makeRoomForGangs(now)
+	}
 }
 
 // forgetPlacing ends a term: gangs on their way to the ledger are anyone's again.
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -6,14 +6,17 @@
 	"time"
 
 	"maddermill/internal/ledger"
+	"maddermill/internal/mesh"
 	"maddermill/internal/place"
 	"maddermill/internal/settings"
+	"maddermill/internal/workers"
 	"maddermill/wire"
 )
 
-// room is a machine that is being emptied for a job.
+// room is a machine that is being emptied for tasks of a job.
 type room struct {
 	job   wire.JobID
+	tasks int
 	until time.Time
 }
 
@@ -41,16 +44,91 @@
 		return
 	}
 	w := c.workers[x.Machine.ID]
-	c.making[w.ID] = room{x.Entry.Job.ID, now.Add(makeRoomFor)}
+	c.making[w.ID] = room{x.Entry.Job.ID, 1, now.Add(makeRoomFor)}
 	v.Withheld[w.ID] = x.Entry.Job.ID
-	for _, victim := range x.Victims {
+	c.stopAll(w, x.Victims, x.Entry.Job.ID)
+}
+
+// stopAll has a worker told to stop what is in the way of a job.
+func (c *Core) stopAll(w *workers.Worker, victims []place.Victim, job wire.JobID) {
+	for _, victim := range victims {
 		h := victim.Held
 		w.Stop(h)
-		c.log.Info("preempt", "job", h.Job.ID, "task", h.First, "tasks", h.Count, "attempt", h.Attempt, "machine", w.ID, "for", x.Entry.Job.ID)
+		c.log.Info("preempt", "job", h.Job.ID, "task", h.First, "tasks", h.Count, "attempt", h.Attempt, "machine", w.ID, "for", job)
 		c.Stats.Add("preemptions_total", 1)
 	}
 }
 
+// A gang of several tasks needs room on many machines at once, which different
+// controllers hold. The fleet's leader, who places it, chooses them and tells the
+// holders with its status; each stops what is in the way on its own machines and keeps
+// the room for the gang. Where that message does not arrive, nothing is stopped.
+
+// makeRoomForGangs chooses machines to be emptied for gangs that no room is found for.
+func (c *Core) makeRoomForGangs(now time.Time) {
+	if !c.set.Operators.Preempt {
+		return
+	}
+	v := c.view(now)
+	for _, x := range place.MakeRoom(v) {
+		r := room{x.Job, x.Tasks, now.Add(makeRoomFor)}
+		c.making[x.Machine.ID], c.asking[x.Machine.ID] = r, r
+		v.Withheld[x.Machine.ID] = x.Job
+		if w := c.workers[x.Machine.ID]; w != nil && x.Machine.Mine {
+			c.clearFor(w, x.Job, x.Tasks, now)
+		}
+	}
+}
+
+// asked lists the machines that holders are to empty.
+func (c *Core) asked(now time.Time) []mesh.Emptying {
+	var out []mesh.Emptying
+	for id, r := range c.asking {
+		if now.After(r.until) {
+			delete(c.asking, id)
+			continue
+		}
+		out = append(out, mesh.Emptying{Machine: id, Job: r.job, Tasks: r.tasks, LeftMS: r.until.Sub(now).Milliseconds()})
+	}
+	return out
+}
+
+// hearEmptying does what the fleet's leader asks for on machines held here, once. now is
+// when it was asked for, so that a late answer asks for nothing.
+func (c *Core) hearEmptying(from wire.MemberID, list []mesh.Emptying, asked, now time.Time) {
+	leads, _ := c.led.Leader()
+	if leads.Member != from || !c.set.Operators.Preempt || now.Sub(c.contact) > startContact {
+		return
+	}
+	for _, x := range list {
+		until := asked.Add(time.Duration(x.LeftMS) * time.Millisecond)
+		w := c.workers[x.Machine]
+		if r, known := c.making[x.Machine]; w == nil || now.After(until) || known && r.job == x.Job {
+			continue
+		}
+		if j := c.led.Job(x.Job); j != nil && j.Pending() > 0 {
+			c.making[x.Machine] = room{x.Job, x.Tasks, until}
+			if c.seen != nil {
+				c.seen.Withheld[x.Machine] = x.Job
+			}
+			c.clearFor(w, x.Job, x.Tasks, now)
+		}
+	}
+}
+
+// clearFor stops what is in the way of tasks of a job on a machine held here. It goes
+// by this controller's own ledger, and by the rules of preemption.
+func (c *Core) clearFor(w *workers.Worker, job wire.JobID, tasks int, now time.Time) {
+	v := c.view(now)
+	m := v.Machine(w.ID)
+	at := slices.IndexFunc(v.Queue, func(e place.Entry) bool { return e.Job.ID == job })
+	if m == nil || at < 0 {
+		return
+	}
+	victims, _ := place.Clear(&v.Queue[at], m.Free, tasks, c.victims(m, now))
+	c.stopAll(w, victims, job)
+}
+
 // victims lists what may be stopped on a machine, from the ledger alone, so that
 // every controller sees the same.
 func (c *Core) victims(m *place.Machine, now time.Time) []place.Victim {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -51,6 +51,16 @@
 	Machines  []Machine     `cbor:"8,keyasint" json:"m,omitempty"` // that it holds
 	Classes   []ClassSum    `cbor:"9,keyasint" json:"cl,omitempty"`
 	Suspects  []Suspect     `cbor:"10,keyasint,omitempty" json:"sp,omitempty"`
+	Emptying  []Emptying    `cbor:"11,keyasint,omitempty" json:"-"`
+}
+
+// Emptying is a machine that the fleet's leader asks its holder to empty for tasks of
+// a gang.
+type Emptying struct {
+	Machine wire.MachineID `cbor:"1,keyasint" json:"i"`
+	Job     wire.JobID     `cbor:"2,keyasint" json:"j"`
+	Tasks   int            `cbor:"3,keyasint" json:"n"`
+	LeftMS  int64          `cbor:"4,keyasint" json:"l"` // until the room is no longer kept
 }
 
 // Suspect is a job whose tasks failed, since so many of them were done.
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -106,21 +107,13 @@
 		if len(all) == 0 {
 			continue
 		}
-		list := slices.DeleteFunc(slices.Clone(all), func(x Victim) bool {
-			return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
-		})
-		slices.SortStableFunc(list, func(a, b Victim) int { return cmp.Compare(loss(&a), loss(&b)) })
-		for k := range list {
-			if free.Fits(j.Need) {
-				break
-			}
-			free = free.Add(list[k].Held.Job.Need, list[k].Held.Count)
-			o.Victims = append(o.Victims, list[k])
-			o.loss += loss(&list[k])
-		}
-		if !free.Fits(j.Need) {
+		var room int
+		if o.Victims, room = Clear(e, free, 1, all); room < 1 {
 			continue
 		}
+		for k := range o.Victims {
+			o.loss += loss(&o.Victims[k])
+		}
 		if best == nil || cmp.Or(cmp.Compare(o.fetch, best.fetch), cmp.Compare(o.loss, best.loss), cmp.Compare(m.ID, best.Machine.ID)) < 0 {
 			best = &o
 		}
@@ -131,6 +124,149 @@
 	return &best.Eviction
 }
 
+// Clear chooses what to stop on a machine with some room free, the least loss first,
+// so that up to most tasks of a job have room, and tells for how many there then is.
+// What would make no more room is not stopped.
+func Clear(e *Entry, free ledger.Resources, most int, all []Victim) (stop []Victim, room int) {
+	need := e.Job.Need
+	list := slices.DeleteFunc(slices.Clone(all), func(x Victim) bool {
+		return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
+	})
+	slices.SortStableFunc(list, func(a, b Victim) int { return cmp.Compare(loss(&a), loss(&b)) })
+	room = free.Times(need, most)
+	useful := 0
+	for k := range list {
+		if room >= most {
+			break
+		}
+		free = free.Add(list[k].Held.Job.Need, list[k].Held.Count)
+		stop = append(stop, list[k])
+		if n := free.Times(need, most); n > room {
+			room, useful = n, len(stop)
+		}
+	}
+	return stop[:useful], room
+}
+
+// Emptying is a machine that is to be emptied for tasks of a gang.
+type Emptying struct {
+	Machine *Machine
+	Job     wire.JobID
+	Tasks   int
+}
+
+// fewGangs bounds how many gangs are looked at in one pass.
+const fewGangs = 8
+
+// MakeRoom looks for gangs of several tasks, in policy order, that no room is found for
+// and that stopping lower work would truly make room for. The room that gangs before
+// them are about to be given is theirs. Like a single task's, a gang's room is made
+// where its image is nearest and the least is lost.
+func MakeRoom(v *View) []Emptying {
+	if v.Victims == nil {
+		return nil
+	}
+	if v.evict == nil {
+		v.evict, v.victims = map[wire.JobID]*Eviction{}, map[wire.MachineID][]Victim{}
+	}
+	kept := map[wire.JobID]bool{}
+	for _, id := range v.Withheld {
+		kept[id] = true
+	}
+	var out []Emptying
+	taken := map[wire.MachineID]bool{}
+	looked := 0
+	for i := range v.Queue {
+		e := &v.Queue[i]
+		j := e.Job
+		if e.Suspect || j.Together() < 2 || !startsWhole(e) || v.Now.Before(e.Retry) || v.reserved(j.ID) {
+			continue
+		}
+		if looked++; looked > fewGangs {
+			break
+		}
+		if need := j.Together(); kept[j.ID] || v.TeamRoom(j, ledger.Resources{}, need) < need {
+			continue // it waits for room that is being made, or kept
+		}
+		for _, x := range v.roomFor(e, taken) {
+			taken[x.Machine.ID] = true
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// reserved reports whether a gang is about to be given room.
+func (v *View) reserved(id wire.JobID) bool {
+	for _, jobs := range v.Reserved {
+		if jobs[id] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// roomFor chooses the machines to empty for one gang, none if that can't be enough.
+func (v *View) roomFor(e *Entry, taken map[wire.MachineID]bool) []Emptying {
+	j := e.Job
+	type option struct {
+		m    *Machine
+		room int
+		rank int
+		loss time.Duration
+		stop bool
+	}
+	zones := map[wire.Zone][]option{}
+	for _, m := range v.Machines {
+		v.Looked++
+		if taken[m.ID] || len(v.Reserved[m.ID]) > 0 || !v.open(e, m) || !m.Total.Fits(j.Need) {
+			continue
+		}
+		o := option{m: m, rank: m.Images.rank(j.Spec.Image)}
+		stop, room := Clear(e, m.Free, j.Together(), v.victimsOn(m))
+		if room == 0 {
+			continue
+		}
+		o.room, o.stop = room, len(stop) > 0
+		for k := range stop {
+			o.loss += loss(&stop[k])
+		}
+		zone := m.Zone
+		if !j.Spec.OneZone {
+			zone = ""
+		}
+		zones[zone] = append(zones[zone], o)
+	}
+	var best []Emptying
+	var bestLoss time.Duration
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		options := zones[zone]
+		slices.SortFunc(options, func(a, b option) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.loss, b.loss), cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
+		})
+		left, sum := j.Together(), time.Duration(0)
+		perZone := map[wire.Zone]int{}
+		var list []Emptying
+		for _, o := range options {
+			n := min(o.room, left)
+			if j.Spec.Spread {
+				n = min(n, (j.Spec.Tasks+1)/2-perZone[o.m.Zone])
+			}
+			if n <= 0 {
+				continue
+			}
+			perZone[o.m.Zone] += n
+			left -= n
+			sum += o.loss
+			list = append(list, Emptying{o.m, j.ID, n})
+		}
+		if left == 0 && (best == nil || sum < bestLoss) {
+			best, bestLoss = list, sum
+		}
+	}
+	return best
+}
+
 // loss is the work that stopping a victim costs.
 func loss(v *Victim) time.Duration {
 	if v.Saves {
--- a/internal/place/preempt_test.go
+++ b/internal/place/preempt_test.go
@@ -70,3 +70,54 @@
 		}
 	}
 }
+
+// TestMakeRoom: machines are emptied for a gang only if that makes room for all of it,
+// where the least is lost, in one zone if it must be; not while room is being made for
+// it, nor of work of its own priority. With a guest's idle-time work on most machines
+// gangs once found no room until many machines happened to be free at once.
+func TestMakeRoom(t *testing.T) {
+	job := func(id wire.JobID, shape wire.Shape, p wire.Priority, tasks int, oneZone bool) *ledger.Job {
+		l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000})
+		d := l.NewDraft()
+		_ = d.Submit(&wire.JobSpec{ID: id, Class: "c", Team: "t", Shape: shape, Priority: p, Tasks: tasks, GPUs: 2, Image: "i", Save: 2, OneZone: oneZone}, 1)
+		txn, _ := d.Txn()
+		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: 1})
+		return l.Job(id)
+	}
+	machine := func(id wire.MachineID, zone wire.Zone, free float64) *place.Machine {
+		return &place.Machine{ID: id, Type: "g", Zone: zone, Usable: true, Total: ledger.NewResources(0, 4, 0), Free: ledger.NewResources(0, free, 0), Images: place.NewImages(10)}
+	}
+	lower := place.Victim{Held: ledger.Held{Job: job("wk-000009", wire.Array, wire.Low, 1, false), Claim: ledger.Claim{Count: 1}}, Saves: true}
+	same := place.Victim{Held: ledger.Held{Job: job("wk-000008", wire.Array, wire.High, 1, false), Claim: ledger.Claim{Count: 1}}, Saves: true}
+	full := []*place.Machine{machine("m1", "a", 0), machine("m2", "b", 0), machine("m3", "b", 2)}
+	on := map[wire.MachineID][]place.Victim{"m1": {lower, lower}, "m2": {lower}, "m3": {same, lower}}
+	for _, tc := range []struct {
+		name     string
+		tasks    int
+		oneZone  bool
+		withheld map[wire.MachineID]wire.JobID
+		want     map[wire.MachineID]int
+	}{
+		{"all of it has room, the least loss first", 3, false, nil, map[wire.MachineID]int{"m2": 1, "m3": 2}},
+		{"more than can be made", 6, false, nil, nil},
+		{"in one zone", 3, true, nil, map[wire.MachineID]int{"m2": 1, "m3": 2}},
+		{"more than one zone has", 4, true, nil, nil},
+		{"room is being made", 3, false, map[wire.MachineID]wire.JobID{"m1": "wk-000001"}, nil},
+	} {
+		v := &place.View{Now: start, Queue: []place.Entry{{Job: job("wk-000001", wire.Gang, wire.High, tc.tasks, tc.oneZone)}}, Machines: full, Withheld: tc.withheld,
+			TeamRoom: func(_ *ledger.Job, _ ledger.Resources, most int) int { return most },
+			Victims:  func(m *place.Machine) []place.Victim { return on[m.ID] }}
+		got := map[wire.MachineID]int{}
+		for _, x := range place.MakeRoom(v) {
+			got[x.Machine.ID] = x.Tasks
+		}
+		if len(got) != len(tc.want) {
+			t.Errorf("%s: empties %v, want %v", tc.name, got, tc.want)
+		}
+		for id, n := range tc.want {
+			if got[id] != n {
+				t.Errorf("%s: empties %v, want %v", tc.name, got, tc.want)
+			}
+		}
+	}
+}
