Room is made for several single tasks at once; polls are shed apart from submissions

Up to eight now, each machine kept for its job. Polls may take half of the requests under way, so that a storm of them leaves submissions and cancellations their part; requests put off are counted by kind.

--- a/cmd/maddermill/serve.go
+++ b/cmd/maddermill/serve.go
@@ -86,6 +86,7 @@
 		sockets = 10_000
 	}
 	server := &api.Server{Service: core, Metrics: core.Stats.Text, RetryAfter: set.Operators.RetryAfter, Log: log,
+		Shed:     func(kind string) { core.Stats.Add("shed_"+kind+"_total", 1) },
 		MaxUsers: int(userShare * float64(sockets)), MaxBusy: max(32, sockets/8)}
 	log.Info("starting", "version", version, "bind", set.Bind, "mesh", set.MeshAddr, "objectives", len(set.Cluster.Objectives))
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,12 +34,14 @@
 	Service    Service
 	Metrics    func() []byte
 	RetryAfter time.Duration
-	MaxUsers   int // users' connections; the rest is kept for workers
-	MaxBusy    int // users' requests at once
+	MaxUsers   int               // users' connections; the rest is kept for workers
+	MaxBusy    int               // users' requests at once, half of them polls
+	Shed       func(kind string) // told of each request that is put off, if given
 	Log        *slog.Logger
 
 	users atomic.Int64
 	busy  atomic.Int64
+	polls atomic.Int64
 }
 
 // Waits of connections and requests.
@@ -78,7 +80,7 @@
 		if !user && strings.HasPrefix(q.Path, "/api/") {
 			user = true
 			if s.users.Add(1) > int64(s.MaxUsers) {
-				p := s.later()
+				p := s.shed("connection")
 				p.Close = true
 				s.write(c, p)
 				return
@@ -140,7 +142,7 @@
 		if q.Method != "POST" {
 			return notAllowed("POST")
 		}
-		return s.limited(func() *http1.Response { return s.submit(ctx, q.Body) })
+		return s.limited("submission", func() *http1.Response { return s.submit(ctx, q.Body) })
 	}
 	rest, ok := strings.CutPrefix(q.Path, "/api/jobs/")
 	if !ok {
@@ -150,7 +152,7 @@
 		if q.Method != "POST" {
 			return notAllowed("POST")
 		}
-		return s.limited(func() *http1.Response { return s.cancel(ctx, wire.JobID(id)) })
+		return s.limited("cancellation", func() *http1.Response { return s.cancel(ctx, wire.JobID(id)) })
 	}
 	if strings.Contains(rest, "/") {
 		return problem(404, "no such path")
@@ -158,18 +160,31 @@
 	if q.Method != "GET" {
 		return notAllowed("GET")
 	}
-	return s.limited(func() *http1.Response { return s.status(ctx, wire.JobID(rest)) })
+	// However often users ask, submissions and cancellations keep their part.
+	defer s.polls.Add(-1)
+	if s.polls.Add(1) > int64(max(1, s.MaxBusy/2)) {
+		return s.shed("poll")
+	}
+	return s.limited("poll", func() *http1.Response { return s.status(ctx, wire.JobID(rest)) })
 }
 
 // limited sheds users' requests when too many are under way.
-func (s *Server) limited(f func() *http1.Response) *http1.Response {
+func (s *Server) limited(kind string, f func() *http1.Response) *http1.Response {
 	defer s.busy.Add(-1)
 	if s.busy.Add(1) > int64(s.MaxBusy) {
-		return s.later()
+		return s.shed(kind)
 	}
 	return f()
 }
 
+// shed puts a request off and counts it.
+func (s *Server) shed(kind string) *http1.Response {
+	if s.Shed != nil {
+		s.Shed(kind)
+	}
+	return s.later()
+}
+
 func (s *Server) submit(ctx context.Context, body []byte) *http1.Response {
 	spec, err := wire.DecodeJobSpec(body)
 	if err != nil {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -18,6 +18,9 @@
 	"maddermill/wire"
 )
 
+// held is what polls of one job wait for.
+var held = make(chan struct{})
+
 type service struct{}
 
 func (service) Submit(_ context.Context, s *wire.JobSpec) (wire.JobStatus, bool, error) {
@@ -30,6 +33,9 @@
 	switch id {
 	case "wk-000001":
 		return wire.JobStatus{ID: id, Status: wire.Done}, nil
+	case "wk-000004":
+		<-held
+		return wire.JobStatus{ID: id, Status: wire.Running}, nil
 	case "wk-000002":
 		return wire.JobStatus{}, controller.ErrUnavailable
 	}
@@ -53,8 +59,9 @@
 	addr := l.Addr().String()
 	l.Close()
 	ctx, cancel := context.WithCancel(t.Context())
+	shed := make(chan string, 100)
 	server := &api.Server{Service: service{}, Metrics: func() []byte { return []byte("x 1\n") }, RetryAfter: time.Second,
-		MaxUsers: 100, MaxBusy: 10, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+		MaxUsers: 100, MaxBusy: 10, Shed: func(kind string) { shed <- kind }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	served := make(chan error, 1)
 	go func() { served <- transport.Serve(ctx, addr, 50, server.Serve) }()
 	dialer, err := transport.NewDialer(1 << 20)
@@ -102,6 +109,35 @@
 			t.Errorf("%s %s: no Retry-After", tc.method, tc.path)
 		}
 	}
+	// However many polls are under way, further ones are put off at once and submissions
+	// keep their part.
+	polls := make(chan int, 8)
+	for range cap(polls) {
+		go func() {
+			p, err := client.Do(ctx, &http1.Request{Method: "GET", Path: "/api/jobs/wk-000004"})
+			if err != nil {
+				p = &http1.Response{}
+			}
+			polls <- p.Status
+		}()
+	}
+	for range 3 {
+		if kind := <-shed; kind != "poll" {
+			t.Errorf("put off a %s", kind)
+		}
+		if status := <-polls; status != 503 {
+			t.Errorf("a poll beyond the bound got %d", status)
+		}
+	}
+	if p, err := client.Do(ctx, &http1.Request{Method: "POST", Path: "/api/jobs", Body: []byte(strings.Replace(job, "OWNER", "t", 1))}); err != nil || p.Status != 201 {
+		t.Errorf("a submission beside them got %v, %v", p, err)
+	}
+	close(held)
+	for range 5 {
+		if status := <-polls; status != 200 {
+			t.Errorf("a poll under way got %d", status)
+		}
+	}
 	for in, want := range map[string]string{
 		"nonsense\r\n\r\n": "HTTP/1.1 400",
 		"POST /api/jobs HTTP/1.1\r\nContent-Length: 70000\r\n\r\n": "HTTP/1.1 413",
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -36,27 +36,28 @@
 	Stats *metrics.Set
 	boot  time.Time
 
-	mu         sync.Mutex
-	led        *ledger.Ledger
-	loaded     bool
-	advanced   chan struct{} // closed whenever the ledger advances
-	token      wire.Token
-	contact    time.Time // all that was committed before is in the ledger
-	ranAt      time.Time // when this process was last known to run, and
-	awakeSince time.Time // since when without a break; zero: ever since its start
-	workers    map[wire.MachineID]*workers.Worker
-	images     map[wire.MachineID]*imageState
-	peers      map[wire.MemberID]*peer
-	told       map[wire.MemberID]time.Time // when peers last asked over the mesh
-	jobs       map[wire.JobID]*jobNotes
-	classes    classSums
-	claimed    map[claimKey]time.Time // when a claim was first seen
-	seen       *place.View            // the picture that placement decides from, and
-	seenAt     time.Time              // since when
-	surplus    surplus
-	withheld   map[wire.MachineID]wire.JobID
-	making     map[wire.MachineID]room
-	asking     map[wire.MachineID]room // as the leader: what holders are asked to empty
+	mu               sync.Mutex
+	led              *ledger.Ledger
+	loaded           bool
+	advanced         chan struct{} // closed whenever the ledger advances
+	token            wire.Token
+	contact          time.Time // all that was committed before is in the ledger
+	ranAt            time.Time // when this process was last known to run, and
+	awakeSince       time.Time // since when without a break; zero: ever since its start
+	workers          map[wire.MachineID]*workers.Worker
+	images           map[wire.MachineID]*imageState
+	peers            map[wire.MemberID]*peer
+	told             map[wire.MemberID]time.Time // when peers last asked over the mesh
+	jobs             map[wire.JobID]*jobNotes
+	classes          classSums
+	claimed          map[claimKey]time.Time // when a claim was first seen
+	seen             *place.View            // the picture that placement decides from, and
+	seenAt           time.Time              // since when
+	surplus          surplus
+	withheld         map[wire.MachineID]wire.JobID
+	making           map[wire.MachineID]room
+	awaited, overdue int                     // as the leader: machines rented and not yet up
+	asking           map[wire.MachineID]room // as the leader: what holders are asked to empty
 
 	barriers   chan *barrier
 	pendingMu  sync.Mutex
@@ -129,6 +130,8 @@
 		}
 		return float64(k)
 	})
+	gauge("machines_awaited", func() float64 { return float64(c.awaited) })
+	gauge("machines_overdue", func() float64 { return float64(c.overdue) })
 	gauge("machines_held", func() float64 { return float64(len(c.workers)) })
 	gauge("ledger_revision", func() float64 { return float64(c.led.Revision()) })
 	gauge("contact_age_seconds", func() float64 { return time.Since(c.contact).Seconds() })
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -110,7 +110,13 @@
 		}
 		l.forgetPlacing()
 	}()
-	defer func() { cancel(nil); <-placing }()
+	defer func() {
+		cancel(nil)
+		<-placing
+		c.mu.Lock()
+		c.awaited, c.overdue = 0, 0
+		c.mu.Unlock()
+	}()
 	c.mu.Lock()
 	l.recent = slices.Clone(c.led.Hires())
 	l.forgetHires(time.Now())
@@ -532,6 +538,7 @@
 		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
 		Headroom: c.set.Operators.Headroom,
 		Refused:  func(o fleet.Option) bool { return now.Before(l.refused[o]) || now.Before(l.dark[o.Zone]) }}
+	awaited, overdue := 0, 0
 	for id, u := range l.units {
 		if c.led.Mark(id) != "" {
 			continue
@@ -548,12 +555,22 @@
 				n.Fetching = under[0]
 			}
 		}
+		if booting {
+			awaited++
+			if l.boots.overdue(u, f.Boot.Duration(), now) {
+				overdue++
+			}
+		}
 		n.Total = ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)
 		n.Busy = c.busy(id, now)
 		if f.Name != "" {
 			in.Units = append(in.Units, n)
 		}
 	}
+	if overdue > c.overdue {
+		c.log.Warn("machines overdue", "overdue", overdue, "awaited", awaited)
+	}
+	c.awaited, c.overdue = awaited, overdue
 	plan := fleet.Make(in)
 	if now.Sub(l.began) < settle {
 		plan.Drain = nil
--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -39,14 +39,12 @@
 
 func (c *Core) makeRoom(now time.Time) {
 	v := c.view(now)
-	x := place.Evict(v)
-	if x == nil || !x.Machine.Mine {
-		return
+	for _, x := range place.Evict(v) {
+		if w := c.workers[x.Machine.ID]; x.Machine.Mine && w != nil {
+			c.making[w.ID] = room{x.Entry.Job.ID, 1, now.Add(makeRoomFor)}
+			c.stopAll(w, x.Victims, x.Entry.Job.ID)
+		}
 	}
-	w := c.workers[x.Machine.ID]
-	c.making[w.ID] = room{x.Entry.Job.ID, 1, now.Add(makeRoomFor)}
-	v.Withheld[w.ID] = x.Entry.Job.ID
-	c.stopAll(w, x.Victims, x.Entry.Job.ID)
 }
 
 // stopAll has a worker told to stop what is in the way of a job.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -142,7 +141,6 @@
 		// A machine rented now is up a boot time from now. For work with time
 		// for one more boot after that, what is free by then does as well. With
 		// less, forecasts that keep being wrong would let it wait for ever.
-		patient := in.Queue[i].Patient()
 		by, pressing := in.Now, true
 		if boot := in.boot(j); e.StartBy.After(by.Add(2 * boot)) {
 			by, pressing = by.Add(boot), false
@@ -184,7 +182,7 @@
 		}
 		for left > 0 && (in.Most == 0 || total < in.Most) {
 			o, ok := cheapest(in, j, zone, perZone)
-			if !ok || patient && in.price(o) > in.lowest(j) {
+			if !ok {
 				break
 			}
 			f := in.Flavors[o.Type]
@@ -277,24 +275,6 @@
 	return f.Price
 }
 
-// lowest is the lowest price of a machine that the job may run on, to be had or not.
-func (in *Input) lowest(j *ledger.Job) float64 {
-	least := math.Inf(1)
-	for _, f := range in.Flavors {
-		if !ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB).Fits(j.Need) {
-			continue
-		}
-		for _, z := range f.Zones {
-			for _, spot := range []bool{false, true} {
-				if (!spot || in.Spot && f.SpotPrice > 0) && ledger.Allowed(j.Spec, f.Name, z, spot) {
-					least = min(least, in.price(Option{f.Name, z, spot}))
-				}
-			}
-		}
-	}
-	return least
-}
-
 // cheapest chooses what to rent for a job: the lowest price for the room that
 // its tasks get, then the zone with the fewest machines.
 func cheapest(in *Input, j *ledger.Job, zone wire.Zone, perZone map[wire.Zone]int) (Option, bool) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -163,11 +163,6 @@
 	return max(0, n-taken)
 }
 
-// Patient reports whether the job runs when there is room to spare: nothing is stated
-// of when its work is to start or end, or it can't be met any more, and all other work
-// goes before it.
-func (e *Entry) Patient() bool { return e.Job.Spec.Priority == wire.Low && e.StartBy.IsZero() }
-
 // alike is how close the times by which jobs must start may be for none to count
 // as more pressing.
 const alike = 10 * time.Second
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -36,16 +36,29 @@
 	Victims []Victim
 }
 
-// Evict looks for the first job in order that no machine can start at once and
-// that stopping lower work would truly make room for. All controllers come to
-// the same machine; the one that holds it acts.
-func Evict(v *View) *Eviction {
+// evictionsAtOnce bounds for how many jobs machines are emptied in one pass.
+const evictionsAtOnce = 8
+
+// Evict looks for the first jobs in order that no machine can start at once and that
+// stopping lower work would truly make room for. All controllers come to the same
+// machines, and keep them for those jobs; the one that holds a machine acts.
+func Evict(v *View) []*Eviction {
+	var out []*Eviction
 	for i := range v.Queue {
 		if x := v.evictFor(&v.Queue[i]); x != nil {
-			return x
+			if _, taken := v.Withheld[x.Machine.ID]; taken {
+				continue // by a job before it, since it was chosen
+			}
+			if v.Withheld == nil {
+				v.Withheld = map[wire.MachineID]wire.JobID{}
+			}
+			v.Withheld[x.Machine.ID] = x.Entry.Job.ID
+			if out = append(out, x); len(out) == evictionsAtOnce {
+				break
+			}
 		}
 	}
-	return nil
+	return out
 }
 
 // evictFor chooses, once in a view, the machine to make room on for one job.
--- a/internal/place/preempt_test.go
+++ b/internal/place/preempt_test.go
@@ -61,7 +61,10 @@
 		v := &place.View{Now: start, Queue: []place.Entry{{Job: high}}, Machines: tc.machines, Withheld: tc.withheld,
 			TeamRoom: func(_ *ledger.Job, _ ledger.Resources, most int) int { return most },
 			Victims:  func(m *place.Machine) []place.Victim { return tc.victims[m.ID] }}
-		x := place.Evict(v)
+		var x *place.Eviction
+		if list := place.Evict(v); len(list) > 0 {
+			x = list[0]
+		}
 		switch {
 		case x == nil && tc.want != "":
 			t.Errorf("%s: nothing is stopped", tc.name)
