Freezes at each step of a start, an exit, a return and a rental are tested

Also: the claims of a huge array are not walked for a job without a zone rule, and what is told of failures stays out of the published picture, whose value is small.

--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
 	"maddermill/internal/settings"
 	"maddermill/internal/standin"
@@ -81,6 +82,10 @@
 	cores []*Core // nil while one is down
 	stop  []context.CancelFunc
 	cut   [3]bool // from the mesh
+
+	freezeAt string // the step at which a controller is to stand still, once
+	frozen   bool
+	quiet    bool // no other troubles
 }
 
 func (h *history) chance(n int) int {
@@ -117,10 +122,13 @@
 	}
 	c := New(testSettings(h.t, i), h.links[i], log)
 	ctx, cancel := context.WithCancel(ctx)
+	h.links[i].Step = func(t wire.Txn, applied bool) { h.step(ctx, i, stepOf(t, applied)) }
 	h.mu.Lock()
 	h.cores[i], h.stop[i] = c, cancel
 	h.mu.Unlock()
-	h.group.Go(func() { _ = c.duties(ctx, frozenCloud{h.cloud, h.links[i]}) })
+	h.group.Go(func() {
+		_ = c.duties(ctx, frozenCloud{h.cloud, h.links[i], func(step string) { h.step(ctx, i, step) }})
+	})
 	h.group.Go(func() {
 		for ctx.Err() == nil {
 			sleep(ctx, time.Second)
@@ -143,20 +151,85 @@
 type frozenCloud struct {
 	*standin.Cloud
 	link *standin.Link
+	step func(string)
 }
 
 func (f frozenCloud) Hire(ctx context.Context, r wire.Hire) ([]wire.MachineID, error) {
+	f.step("rental sent")
 	f.link.Thaw()
 	defer f.link.Thaw()
+	defer f.step("rental answered")
 	return f.Cloud.Hire(ctx, r)
 }
 
 func (f frozenCloud) Return(ctx context.Context, names []wire.MachineID) error {
+	f.step("return sent")
 	f.link.Thaw()
 	defer f.link.Thaw()
+	defer f.step("return answered")
 	return f.Cloud.Return(ctx, names)
 }
 
+// step makes a controller stand still if it is at the step to do so.
+func (h *history) step(ctx context.Context, i int, step string) {
+	h.mu.Lock()
+	now := step == h.freezeAt && !h.frozen
+	h.frozen = h.frozen || now
+	h.mu.Unlock()
+	if now {
+		h.links[i].Freeze(50 * time.Second)
+		h.group.Go(func() { h.freeze(ctx, i, 50*time.Second) })
+	}
+}
+
+// stepOf names what a transaction is for.
+func stepOf(t wire.Txn, applied bool) string {
+	kind := ""
+	for _, ch := range t.Then {
+		v := string(ch.Value)
+		switch {
+		case strings.HasPrefix(ch.Put, ledger.HiresKey):
+			kind = "rental record"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"m/"):
+			kind = "mark"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"j/") && strings.Contains(v, `"c":`):
+			kind = "start"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"j/") && strings.Contains(v, `"state":"done"`):
+			kind = "exit"
+		}
+	}
+	if applied {
+		return kind + " answered"
+	}
+	return kind + " sent"
+}
+
+// TestFreezeAtEachStep: a controller stands still for 50 s at each step of a start, an
+// exit, a return and a rental, before it is sent and before its answer is read. What
+// comes out of it late breaks no rule, and the others finish its work.
+func TestFreezeAtEachStep(t *testing.T) {
+	for _, kind := range []string{"start", "exit", "mark", "return", "rental record", "rental"} {
+		for _, side := range []string{" sent", " answered"} {
+			t.Run(kind+side, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHistory(t, 5)
+					h.quiet, h.freezeAt = true, kind+side
+					finished := h.play(6*time.Minute, 24, 0)
+					for _, b := range h.world.Broken {
+						t.Errorf("broken: %s", b)
+					}
+					for _, p := range h.store.Problems {
+						t.Errorf("state service: %s", p)
+					}
+					if !h.frozen || finished < 20 {
+						t.Errorf("stood still %v, %d of 24 jobs ended", h.frozen, finished)
+					}
+				})
+			})
+		}
+	}
+}
+
 // freeze makes a controller stand still: what it sends and is sent waits, and it finds
 // out by its own clock afterwards.
 func (h *history) freeze(ctx context.Context, i int, d time.Duration) {
@@ -415,7 +488,7 @@
 			return finished
 		case <-time.After(time.Second):
 			h.world.Check()
-			if at%12 == 11 && time.Duration(at)*time.Second < d*2/3 {
+			if at%12 == 11 && !h.quiet && time.Duration(at)*time.Second < d*2/3 {
 				h.group.Go(func() { h.trouble(ctx) })
 			}
 		}
--- a/internal/controller/suspects.go
+++ b/internal/controller/suspects.go
@@ -91,8 +91,13 @@
 		t.note(w.ID, now)
 	}
 	c.Stats.Add("errors_total", 1)
+	c.tellSuspect(j, n, was)
+}
+
+// tellSuspect logs that a job has become suspect.
+func (c *Core) tellSuspect(j *ledger.Job, n *jobNotes, was bool) {
 	if n.failures.blamed() && !was {
-		c.log.Warn("job suspect", "job", j.ID, "class", j.Spec.Class, "team", j.Spec.Team, "machines", len(n.failures.on))
+		c.log.Warn("job suspect", "job", j.ID, "class", j.Spec.Class, "team", j.Spec.Team, "machines", len(n.failures.on), "rests", time.Until(n.failures.until).Round(time.Second))
 	}
 }
 
@@ -162,9 +167,7 @@
 		n := c.notes(s.Job)
 		was := n.failures.blamed()
 		n.failures.hear(s, at)
-		if n.failures.blamed() && !was {
-			c.log.Warn("job suspect", "job", j.ID, "class", j.Spec.Class, "team", j.Spec.Team, "machines", len(n.failures.on))
-		}
+		c.tellSuspect(j, n, was)
 	}
 }
 
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -297,6 +297,9 @@
 
 func zoneRoom(s *wire.JobSpec, zone wire.Zone, each func(func(*Claim))) int {
 	room := s.Tasks
+	if !s.Spread && !s.OneZone {
+		return room // the claims of a huge array are not walked for nothing
+	}
 	if s.Spread {
 		room = (s.Tasks + 1) / 2
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -50,26 +50,26 @@
 	Loaded    bool          `cbor:"7,keyasint" json:"ld"`          // its ledger has been read whole
 	Machines  []Machine     `cbor:"8,keyasint" json:"m,omitempty"` // that it holds
 	Classes   []ClassSum    `cbor:"9,keyasint" json:"cl,omitempty"`
-	Suspects  []Suspect     `cbor:"10,keyasint,omitempty" json:"sp,omitempty"`
+	Suspects  []Suspect     `cbor:"10,keyasint,omitempty" json:"-"` // a stored value is small
 	Emptying  []Emptying    `cbor:"11,keyasint,omitempty" json:"-"`
 }
 
 // Emptying is a machine that the fleet's leader asks its holder to empty for tasks of
 // a gang.
 type Emptying struct {
-	Machine wire.MachineID `cbor:"1,keyasint" json:"i"`
-	Job     wire.JobID     `cbor:"2,keyasint" json:"j"`
-	Tasks   int            `cbor:"3,keyasint" json:"n"`
-	LeftMS  int64          `cbor:"4,keyasint" json:"l"` // until the room is no longer kept
+	Machine wire.MachineID `cbor:"1,keyasint"`
+	Job     wire.JobID     `cbor:"2,keyasint"`
+	Tasks   int            `cbor:"3,keyasint"`
+	LeftMS  int64          `cbor:"4,keyasint"` // until the room is no longer kept
 }
 
 // Suspect is a job whose tasks failed, since so many of them were done.
 type Suspect struct {
-	Job      wire.JobID       `cbor:"1,keyasint" json:"j"`
-	Done     int              `cbor:"2,keyasint" json:"d"`
-	Machines []wire.MachineID `cbor:"3,keyasint" json:"m"`
-	Rounds   int              `cbor:"4,keyasint" json:"n"`
-	RestMS   int64            `cbor:"5,keyasint" json:"r"` // until it is tried again
+	Job      wire.JobID       `cbor:"1,keyasint"`
+	Done     int              `cbor:"2,keyasint"`
+	Machines []wire.MachineID `cbor:"3,keyasint"`
+	Rounds   int              `cbor:"4,keyasint"`
+	RestMS   int64            `cbor:"5,keyasint"` // until it is tried again
 }
 
 // ClassSum is what a controller has seen of a class's run times, in seconds.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -192,6 +192,8 @@
 	rng    *rand.Rand
 	down   bool
 	frozen time.Time // until when its process stands still
+	// Step, if set, is called before a transaction is sent and after it is applied.
+	Step func(t wire.Txn, applied bool)
 	// Lossy is the share of transactions whose answer is lost; half of those
 	// are applied late.
 	Lossy float64
@@ -287,6 +289,10 @@
 // lost request may be applied seconds later.
 func (l *Link) Commit(ctx context.Context, t wire.Txn) (wire.Revision, error) {
 	defer l.Thaw()
+	if l.Step != nil {
+		l.Step(t, false)
+		defer l.Step(t, true)
+	}
 	if err := l.travel(ctx); err != nil {
 		return 0, err
 	}
