--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -191,3 +191,39 @@
 		}
 	}
 }
+
+// TestEarlyMachine: a machine may report before the cloud has answered its rental, and
+// before any list names it. It is used from its first report on, and neither the answer
+// nor the list makes it one that is awaited.
+func TestEarlyMachine(t *testing.T) {
+	c := quietCore(t, 0)
+	value, _ := json.Marshal(ledger.LeaderRecord{Member: c.set.Member, Token: 7})
+	version, err := c.store.Commit(t.Context(), wire.Txn{Then: []wire.Change{{Put: ledger.LeaderKey, Value: value}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	follow(t, c)
+	now := time.Now()
+	c.token, c.contact = 7, now
+	early := wire.MachineID("r-7-1-0")
+	if a := c.Report(t.Context(), &wire.Report{Machine: early, Type: "g2", Zone: "a", Session: 1, Tally: 1}); a.Status != 200 {
+		t.Fatalf("its first report got %d", a.Status)
+	}
+	l := &leader{c: c, cloud: &askedCloud{}, version: version, token: 7, began: now, renewed: now, boots: boots{}, units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}}
+	l.observe(now)
+	heard := l.units[early]
+	if heard == nil || heard.heard.IsZero() {
+		t.Fatal("the leader does not count on a machine that reports")
+	}
+	hire := ledger.HireIntent{Hire: wire.Hire{Request: "r-7-1", Type: "g2", Zone: "a", Count: 2}, At: wire.UnixMillis(now.UnixMilli())}
+	if err := l.hire(t.Context(), hire); err != nil {
+		t.Fatal(err)
+	}
+	if l.units[early] != heard || heard.heard.IsZero() || len(l.units) != 2 || !l.units["r-7-1-1"].heard.IsZero() {
+		t.Errorf("after the rental's answer: %+v", l.units)
+	}
+	l.observe(now.Add(time.Second))
+	if l.units[early].heard.IsZero() || !l.units["r-7-1-1"].heard.IsZero() {
+		t.Error("one that reports is awaited, or one that does not is taken for up")
+	}
+}
