Names of rentals are made from the leader's record, not its token

A controller may lead twice under one token: its lease lost and won back while no worker showed it a higher one. It then began to count rentals anew under the old names, which the cloud answers with the old machines and rents nothing. Found by rereading; the test has a controller lead again under its token.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -79,7 +79,7 @@
 	c.log.Info("leading the fleet", "token", token)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	l := &leader{c: c, cloud: cl, version: version, token: token, began: time.Now(),
+	l := &leader{c: c, cloud: cl, version: version, began: time.Now(),
 		units: map[wire.MachineID]*unit{}, boots: boots{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*change{}, dark: map[wire.Zone]time.Time{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now(), renewed: asked}
 	go func() {
 		for ctx.Err() == nil {
@@ -157,7 +157,6 @@
 	c        *Core
 	cloud    Cloud
 	version  wire.Revision
-	token    wire.Token
 	began    time.Time
 	hires    int
 	units    map[wire.MachineID]*unit
@@ -624,8 +623,10 @@
 	var asked []ledger.HireIntent
 	for _, n := range needs {
 		l.hires++
-		// The token is unique for ever, and so are names made from it.
-		name := wire.HireName(fmt.Sprintf("r-%d-%d", l.token, l.hires))
+		// The revision of the leader's record is that of no other term, ever. A token
+		// is not enough: a controller may lead twice under one, and the cloud answers a
+		// name used again with the old machines and rents nothing.
+		name := wire.HireName(fmt.Sprintf("r-%d-%d", l.version, l.hires))
 		asked = append(asked, ledger.HireIntent{At: wire.UnixMillis(now.UnixMilli()),
 			Hire: wire.Hire{Request: name, Type: n.Type, Zone: n.Zone, Spot: n.Spot, Count: min(n.Count, cloud.MaxHire)}})
 	}
--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -117,8 +117,8 @@
 		return rev
 	}
 	need := []fleet.Need{{Option: fleet.Option{Type: "g2", Zone: "a"}, Count: 3}}
-	term := func(cl Cloud, token wire.Token, v wire.Revision) *leader {
-		return &leader{c: c, cloud: cl, version: v, token: token, renewed: time.Now(), units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}}
+	term := func(cl Cloud, v wire.Revision) *leader {
+		return &leader{c: c, cloud: cl, version: v, renewed: time.Now(), units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}}
 	}
 	// commit waits for the ledger, which nothing follows here.
 	rent := func(l *leader) error {
@@ -129,7 +129,7 @@
 	}
 
 	first := &askedCloud{fail: cloud.ErrRefused} // the answer is lost
-	l := term(first, 7, leads(7))
+	l := term(first, leads(7))
 	if err := rent(l); err == nil || len(first.asked) != 1 {
 		t.Fatalf("asked %v, %v", first.asked, err)
 	}
@@ -141,12 +141,19 @@
 	}
 
 	second := &askedCloud{}
-	s := term(second, 8, next)
+	s := term(second, next)
 	s.recent = c.led.Hires()
 	s.relearn = s.recent
 	if err := s.askAgain(t.Context()); err != nil || len(second.asked) != 1 || second.asked[0] != first.asked[0] || len(s.units) != 3 {
 		t.Errorf("the successor asked for %v (%v) and knows of %d machines, want %v again", second.asked, err, len(s.units), first.asked)
 	}
+	// A controller that leads again, under the token that it led under before, uses no
+	// name again.
+	third := &askedCloud{}
+	if err := rent(term(third, leads(7))); err != nil || len(third.asked) != 1 || third.asked[0] == first.asked[0] {
+		t.Errorf("leading again it asked for %v (%v), after %v", third.asked, err, first.asked)
+	}
+	s.version = leads(8)
 	s.renewed = time.Now().Add(-time.Minute)
 	if err := s.hire(t.Context(), s.recent[0]); err == nil || len(second.asked) != 1 {
 		t.Errorf("a leader whose lease may be over asked for %v", second.asked[1:])
@@ -209,7 +216,7 @@
 	if a := c.Report(t.Context(), &wire.Report{Machine: early, Type: "g2", Zone: "a", Session: 1, Tally: 1}); a.Status != 200 {
 		t.Fatalf("its first report got %d", a.Status)
 	}
-	l := &leader{c: c, cloud: &askedCloud{}, version: version, token: 7, began: now, renewed: now, boots: boots{}, units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}}
+	l := &leader{c: c, cloud: &askedCloud{}, version: version, began: now, renewed: now, boots: boots{}, units: map[wire.MachineID]*unit{}, refused: map[fleet.Option]time.Time{}}
 	l.observe(now)
 	heard := l.units[early]
 	if heard == nil || heard.heard.IsZero() {
