Best-effort starts are made where transactions are small, too

The room that spare changes leave was more than the whole budget where a transaction takes eight changes or fewer: best-effort jobs would never have started there. Found by rereading; the test has transactions of two, four and eight changes.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -121,6 +121,9 @@
 // starts, come after all others.
 const spareAfter = 10 * time.Second
 
+// leastSpare is how many changes a start needs: its job's record and its team's.
+const leastSpare = 2
+
 // isSpare reports whether a change is to leave room in the budget for others.
 func (ch *change) isSpare(now time.Time) bool {
 	return ch.spare && (ch.drop || now.Sub(ch.asked) < spareAfter)
@@ -130,10 +133,16 @@
 // that comes the next moment must not wait for it to grow back.
 func (c *Core) reserve() int { return c.set.Cluster.State.TxnOps / 2 }
 
+// plenty reports whether the budget has room for a batch beside what spare changes are
+// to leave, or for all that it may ever have: where transactions are small that is less.
+func (c *Core) plenty() bool {
+	return c.store.Changes() >= min(c.reserve()+c.leastBatch()+changesForUsers, c.set.Cluster.State.TxnOps)
+}
+
 // waits reports whether a queue holds spare changes only, and the budget little more
 // than what they are to leave.
 func (c *Core) waits(queue []*change, now time.Time) bool {
-	return c.store.Changes() < c.reserve()+c.leastBatch()+changesForUsers &&
+	return !c.plenty() &&
 		!slices.ContainsFunc(queue, func(ch *change) bool { return !ch.isSpare(now) || ch.drop && now.After(ch.until) })
 }
 
@@ -177,7 +186,11 @@
 	for i, ch := range queue {
 		if !spare && ch.isSpare(now) {
 			spare = true
-			d.Limit(changes - c.reserve())
+			least := 0
+			if c.plenty() {
+				least = leastSpare
+			}
+			d.Limit(max(least, changes-c.reserve()))
 		}
 		switch {
 		case ch.drop && now.After(ch.until):
--- a/internal/controller/commit_test.go
+++ b/internal/controller/commit_test.go
@@ -158,3 +158,28 @@
 		}
 	}
 }
+
+// TestSpareChangesWithTheSmallestTransactions: where a transaction takes few changes, and
+// the budget never holds more, best-effort starts are still made.
+func TestSpareChangesWithTheSmallestTransactions(t *testing.T) {
+	for _, ops := range []int{2, 4, 8} {
+		set := testSettings(t, 0)
+		set.Cluster.State.TxnOps = ops
+		s := &scarce{Store: standin.NewLink(standin.NewStore(ops, set.ValueBytes()), 1), budget: ops}
+		c := New(set, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c.loaded = true
+		addJob(c, 1, wire.Array, 1, "")
+		now := time.Now()
+		queue := []*change{{done: make(chan error, 1), drop: true, until: now.Add(time.Minute), spare: true, asked: now, draft: func(d *ledger.Draft) error {
+			_, err := d.Claim(c.led.Job("wk-000001"), ledger.Site{Machine: "host-1", Zone: "a", Session: 1, Token: 1}, 1, nil)
+			return err
+		}}}
+		if c.waits(queue, now) {
+			t.Errorf("%d changes a transaction: waits with all of the budget there", ops)
+			continue
+		}
+		if left := c.writeBatch(t.Context(), queue); len(left) > 0 || len(s.sizes) != 1 {
+			t.Errorf("%d changes a transaction: %d left, batches of %v", ops, len(left), s.sizes)
+		}
+	}
+}
