--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"io"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -32,7 +30,7 @@
 		{"one told of a cancellation that this ledger lacks", []mesh.Answer{answerOf("m-1", fresh, 8, true, 0), answerOf("m-2", fresh, 7, true, 0)}, old},
 		{"one has restarted and knows nothing", []mesh.Answer{answerOf("m-1", fresh, 0, false, 0), answerOf("m-2", fresh, 7, true, 0)}, old},
 	} {
-		c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c := quietCore(t, 0)
 		c.contact = old
 		c.led.CaughtUp(7)
 		for _, a := range tc.peers {
@@ -48,7 +46,7 @@
 // shares an outage with all others stays, since leaving would gain nobody anything.
 func TestHealthy(t *testing.T) {
 	now := time.Now()
-	c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := quietCore(t, 0)
 	if c.Healthy() {
 		t.Error("healthy before the ledger was read")
 	}
@@ -70,7 +68,7 @@
 // TestCancellationsAreVouchedFor: the revision a controller vouches with is never
 // below that of a cancellation that its ledger holds.
 func TestCancellationsAreVouchedFor(t *testing.T) {
-	c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := quietCore(t, 0)
 	value := `{"spec":{"id":"wk-000001","pieces":1},"at":1,"state":"cancelled"}`
 	c.led.Apply(ledger.Event{Key: "mm1/j/wk-000001", Value: []byte(value), Version: 9})
 	if got := c.status().Cancelled; got < 9 {
@@ -83,7 +81,7 @@
 // the peer must still be answered before its lease ends.
 func TestRedirect(t *testing.T) {
 	now := time.Now()
-	c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := quietCore(t, 0)
 	c.loaded, c.token, c.contact = true, 1, now.Add(-8*time.Second)
 	r := &wire.Report{Machine: "host-1", Session: 1, Tally: 1}
 	if a := c.Report(t.Context(), r); a.Status != 200 {
--- a/internal/controller/spread_test.go
+++ b/internal/controller/spread_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -30,7 +28,7 @@
 		{"shared", [2]int{28, 31}, 0, 0, ""},
 		{"peers out of touch", [2]int{0, 0}, time.Minute, 0, ""},
 	} {
-		c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c := quietCore(t, 0)
 		c.loaded, c.token, c.contact = true, 1, time.Now()
 		for i, n := range tc.theirs {
 			a := answerOf(wire.MemberID(fmt.Sprintf("m-%d", i+1)), time.Now(), 0, true, tc.contact)
--- a/internal/controller/zones_test.go
+++ b/internal/controller/zones_test.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"io"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -27,7 +25,7 @@
 		{"our own silence", 3, time.Second, 0, false},
 		{"heard again", 3, time.Minute, time.Second, false},
 	} {
-		c := New(testSettings(t, 0), nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c := quietCore(t, 0)
 		c.contact = now
 		l := &leader{c: c, boots: boots{}, began: now.Add(-time.Hour), settled: now.Add(-tc.settled), units: map[wire.MachineID]*unit{}, dark: map[wire.Zone]time.Time{}}
 		add := func(id wire.MachineID, z wire.Zone, heard time.Time) {
