--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -79,13 +79,15 @@
 	group sync.WaitGroup
 
 	mu    sync.Mutex
-	cores []*Core // nil while one is down
+	cores []*Core           // nil while one is down
+	lives []context.Context // of the run of each that began last
 	stop  []context.CancelFunc
 	cut   [3]bool // from the mesh
 
 	freezeAt string // the step at which a controller is to stand still, once
 	frozen   bool
 	quiet    bool // no other troubles
+	over     bool
 }
 
 func (h *history) chance(n int) int {
@@ -95,7 +97,7 @@
 }
 
 func newHistory(t *testing.T, seed uint64) *history {
-	h := &history{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), cores: make([]*Core, 3), stop: make([]context.CancelFunc, 3)}
+	h := &history{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), cores: make([]*Core, 3), lives: make([]context.Context, 3), stop: make([]context.CancelFunc, 3)}
 	set := testSettings(t, 0)
 	h.world = standin.NewWorld(set.Cluster.Workers.Cancel.Duration())
 	h.world.TeamMax["capped"] = 4
@@ -104,7 +106,9 @@
 		Run:   func(t wire.TaskID) time.Duration { return time.Duration(5+int(t.Index)*7%40) * time.Second },
 		Types: []wire.Flavor{{Name: "g2", CPUs: 8, GPUs: 2, MemoryGB: 32, CacheGB: 50, FetchGBps: 1, Price: 4, SpotPrice: 1, Boot: 20, Zones: []wire.Zone{"a", "b"}}}}
 	for i := range 3 {
-		h.links = append(h.links, standin.NewLink(h.store, seed*10+uint64(i)))
+		l := standin.NewLink(h.store, seed*10+uint64(i))
+		l.Step = func(t wire.Txn, applied bool) { h.step(i, stepOf(t, applied)) }
+		h.links = append(h.links, l)
 	}
 	return h
 }
@@ -122,12 +126,11 @@
 	}
 	c := New(testSettings(h.t, i), h.links[i], log)
 	ctx, cancel := context.WithCancel(ctx)
-	h.links[i].Step = func(t wire.Txn, applied bool) { h.step(ctx, i, stepOf(t, applied)) }
 	h.mu.Lock()
-	h.cores[i], h.stop[i] = c, cancel
+	h.cores[i], h.lives[i], h.stop[i] = c, ctx, cancel
 	h.mu.Unlock()
 	h.group.Go(func() {
-		_ = c.duties(ctx, frozenCloud{h.cloud, h.links[i], func(step string) { h.step(ctx, i, step) }})
+		_ = c.duties(ctx, frozenCloud{h.cloud, h.links[i], func(step string) { h.step(i, step) }})
 	})
 	h.group.Go(func() {
 		for ctx.Err() == nil {
@@ -171,8 +174,9 @@
 }
 
 // step makes a controller stand still if it is at the step to do so.
-func (h *history) step(ctx context.Context, i int, step string) {
+func (h *history) step(i int, step string) {
 	h.mu.Lock()
+	ctx := h.lives[i]
 	now := step == h.freezeAt && !h.frozen
 	h.frozen = h.frozen || now
 	h.mu.Unlock()
@@ -280,10 +284,10 @@
 		}
 		if h.chance(12) == 0 {
 			// This one is held back; the worker gives up and goes on elsewhere.
-			late, delay := *r, time.Duration(1+h.chance(40))*time.Second
+			late, to, delay := *r, at, time.Duration(1+h.chance(40))*time.Second
 			h.group.Go(func() {
 				sleep(ctx, delay)
-				if c := h.core(at); c != nil {
+				if c := h.core(to); c != nil {
 					_ = c.Report(ctx, &late)
 				}
 			})
@@ -455,7 +459,13 @@
 	for _, l := range h.links {
 		l.Lossy = lossy
 	}
-	h.cloud.Started = func(m *standin.Machine) { h.group.Go(func() { h.work(ctx, m) }) }
+	h.cloud.Started = func(m *standin.Machine) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if !h.over { // a machine may come up while the group is already waited for
+			h.group.Go(func() { h.work(ctx, m) })
+		}
+	}
 	for i := range 4 {
 		h.cloud.Add("g2", []wire.Zone{"a", "b"}[i%2], i%2 == 1)
 	}
@@ -483,6 +493,9 @@
 			for i := range 3 {
 				h.crash(i)
 			}
+			h.mu.Lock()
+			h.over = true
+			h.mu.Unlock()
 			h.group.Wait()
 			time.Sleep(time.Minute) // what was delayed still comes
 			return finished
