Passes over all machines keep to a share of the processor; frames fit a larger fleet

At 16,000 placing gangs and making room took 0.37 s of a core each second, more than any quota, and from about 3,000 machines a controller on its status no longer fitted a frame of the mesh. Change: the machines of a zone that a gang may take are kept in a bounded order instead of sorted whole; a pass over all machines is repeated only when its share of the processor allows, within 5 s; frames up to 4 MB are taken.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -53,6 +53,7 @@
 	claimed          map[claimKey]time.Time // when a claim was first seen
 	seen             *place.View            // the picture that placement decides from, and
 	seenAt           time.Time              // since when
+	seenTook         time.Duration          // how long its making took
 	surplus          surplus
 	withheld         map[wire.MachineID]wire.JobID
 	making           map[wire.MachineID]room
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -22,7 +22,7 @@
 	"maddermill/wire"
 )
 
-func testSettings(t *testing.T, member int) *settings.Settings {
+func testSettings(t testing.TB, member int) *settings.Settings {
 	t.Helper()
 	var b strings.Builder
 	fmt.Fprintf(&b, "member = \"m-%d\"\nzone = \"a\"\nbind = \"127.0.0.1:1\"\nmesh_addr = \"127.0.0.1:2\"\n", member)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -166,7 +166,8 @@
 	recent   []ledger.HireIntent        // asked for lately, by predecessors too
 	relearn  []ledger.HireIntent        // whose outcome is not known in this term
 	boots    boots
-	madeRoom time.Time                    // when room for gangs was last looked for
+	madeRoom time.Time                    // when room for gangs was last looked for,
+	roomTook time.Duration                // and how long that took
 	dark     map[wire.Zone]time.Time      // cut off, to be left alone until
 	returned map[wire.MachineID]bool      // the cloud has confirmed it
 	released map[wire.MachineID]time.Time // when its claims were asked to be released
@@ -508,9 +509,11 @@
 		l.placing[id] = gangStart{ch, n}
 		c.enqueue(ch)
 	}
-	if now.Sub(l.madeRoom) > pictureFor {
+	if now.Sub(l.madeRoom) > c.restAfter(l.roomTook) {
+		began := time.Now()
 		l.madeRoom = now
 		c.makeRoomForGangs(now)
+		l.roomTook = time.Since(began)
 	}
 }
 
@@ -526,12 +529,18 @@
 
 // plan rents and gives back.
 func (l *leader) plan(ctx context.Context, now time.Time) error {
-	c := l.c
-	settle := 2 * c.set.Cluster.Cloud.ListLag.Duration()
 	if !l.listed {
 		return nil
 	}
+	return l.rent(ctx, l.planned(now))
+}
+
+// planned decides what to rent, and marks what is to be given back.
+func (l *leader) planned(now time.Time) []fleet.Need {
+	c := l.c
+	settle := 2 * c.set.Cluster.Cloud.ListLag.Duration()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	v := c.view(now)
 	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: v.Queue, TeamRoom: c.led.TeamRoom,
 		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
@@ -579,8 +588,7 @@
 		// same time is lost with the machine; two marks for every machine cost more.
 		l.setMark(id, ledger.Leaving, "idle")
 	}
-	c.mu.Unlock()
-	return l.rent(ctx, plan.Hire)
+	return plan.Hire
 }
 
 // unlisted is how long the cloud's list may not show a machine.
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -13,13 +13,31 @@
 // pictureFor is how long a picture of the queue and of all machines serves. Making
 // one costs as much as there is; each report, claim and start in between only
 // changes the machine that it concerns.
-const pictureFor = time.Second
+const (
+	pictureFor  = time.Second
+	longPicture = 5 * time.Second // however large the fleet is
+)
+
+// passShare is the part of a controller's share of a processor that a pass over all
+// machines may take.
+const passShare = 0.25
+
+// restAfter is how long a pass over all machines that took so long is not repeated. In a
+// fleet of ten thousands pictures alone would otherwise take all of a small share.
+func (c *Core) restAfter(took time.Duration) time.Duration {
+	share := c.set.Cluster.Quota.CPUShare
+	if share <= 0 || share > 1 {
+		share = 1
+	}
+	return min(longPicture, max(pictureFor, time.Duration(float64(took)/(share*passShare))))
+}
 
 // view is what placement decides from.
 func (c *Core) view(now time.Time) *place.View {
-	if c.seen == nil || now.Sub(c.seenAt) > pictureFor {
+	if c.seen == nil || now.Sub(c.seenAt) > c.restAfter(c.seenTook) {
 		c.seenAt = now
 		c.seen = c.look(now)
+		c.seenTook = time.Since(now)
 	}
 	c.seen.Now = now
 	return c.seen
--- a/internal/controller/standstill_test.go
+++ b/internal/controller/standstill_test.go
@@ -16,7 +16,7 @@
 	"maddermill/wire"
 )
 
-func quietCore(t *testing.T, member int) *Core {
+func quietCore(t testing.TB, member int) *Core {
 	t.Helper()
 	set := testSettings(t, member)
 	link := standin.NewLink(standin.NewStore(set.Cluster.State.TxnOps, set.ValueBytes()), uint64(member+1))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,8 +20,8 @@
 // Version is the version of the frames' content. Others are refused.
 const Version = 1
 
-// maxFrame bounds a frame; a picture of some thousand machines fits.
-const maxFrame = 512 << 10
+// maxFrame bounds a frame; a picture of twenty thousand machines fits.
+const maxFrame = 4 << 20
 
 // Machine is a machine that a controller holds.
 type Machine struct {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"reflect"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"maddermill/wire"
 )
 
 func frame(t testing.TB, s Status) []byte {
@@ -37,6 +40,25 @@
 	}
 }
 
+// TestLargeFleetFits: what a controller tells of ten thousand machines, each with as many
+// images as a cache holds, is taken. Frames were refused from about three thousand
+// machines a controller on, and peers then took each other for silent.
+func TestLargeFleetFits(t *testing.T) {
+	s := example
+	s.Machines = nil
+	for i := range 10_000 {
+		m := Machine{ID: wire.MachineID(fmt.Sprintf("host-%06d", i)), Type: "darkgreen48", Zone: "southern", Session: 1000, Token: 100_000, AgeMS: 5000, Usable: true}
+		for k := range 10 {
+			m.Images = append(m.Images, wire.Image(fmt.Sprintf("image-%06d", i*10+k)))
+		}
+		s.Machines = append(s.Machines, m)
+	}
+	var got Status
+	if err := read(bufio.NewReader(bytes.NewReader(frame(t, s))), &got); err != nil || len(got.Machines) != len(s.Machines) {
+		t.Errorf("%d machines, %v", len(got.Machines), err)
+	}
+}
+
 // FuzzFrame: no bytes from a peer do harm.
 func FuzzFrame(f *testing.F) {
 	f.Add(frame(f, example))
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -586,7 +586,16 @@
 		rank int
 		left int64 // GPUs and CPUs that stay free beside the gang
 	}
-	zones := map[wire.Zone][]option{}
+	own := func(m *Machine) int {
+		if m.Spot {
+			return 0
+		}
+		return 1
+	}
+	found := nearest[option]{most: need, order: func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
+			cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
+	}}
 	total := 0
 	for _, m := range roomy {
 		v.Looked++
@@ -601,28 +610,13 @@
 				o.rank = rankUnderway
 			}
 		}
-		zone := m.Zone
-		if !j.Spec.OneZone {
-			zone = ""
-		}
-		zones[zone] = append(zones[zone], o)
+		found.add(m.Zone, o)
 		total += room
 	}
 	if total < need {
 		return nil, 0
 	}
-	own := func(m *Machine) int {
-		if m.Spot {
-			return 0
-		}
-		return 1
-	}
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		options := zones[zone]
-		slices.SortFunc(options, func(a, b option) int {
-			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
-				cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
-		})
+	for _, options := range found.places(j.Spec.OneZone) {
 		left, rank := need, 0
 		taken := map[wire.Zone]int{}
 		var out []ledger.Placed
@@ -646,6 +640,44 @@
 	return best, bestRank
 }
 
+// nearest keeps the first few options of each zone in an order. A gang needs no more
+// machines of a zone than it has tasks, so the rest need not be sorted.
+type nearest[T any] struct {
+	most  int // of a zone
+	order func(a, b T) int
+	zones map[wire.Zone][]T
+}
+
+func (f *nearest[T]) add(z wire.Zone, o T) {
+	if f.zones == nil {
+		f.zones = map[wire.Zone][]T{}
+	}
+	list := f.zones[z]
+	if len(list) == f.most {
+		if f.order(o, list[len(list)-1]) >= 0 {
+			return
+		}
+		list = list[:len(list)-1]
+	}
+	at, _ := slices.BinarySearchFunc(list, o, f.order)
+	f.zones[z] = slices.Insert(list, at, o)
+}
+
+// places lists the options in order: of each zone by itself, or of all together.
+func (f *nearest[T]) places(oneZone bool) [][]T {
+	var out [][]T
+	var all []T
+	for _, z := range slices.Sorted(maps.Keys(f.zones)) {
+		out = append(out, f.zones[z])
+		all = append(all, f.zones[z]...)
+	}
+	if oneZone {
+		return out
+	}
+	slices.SortFunc(all, f.order)
+	return [][]T{all}
+}
+
 // Withhold chooses the machines whose freed room is kept for gangs that have
 // headed the order for too long: as many as could hold them, those with the
 // least on them first. kept is the choice so far; it is held on to.
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -142,6 +141,9 @@
 // What would make no more room is not stopped.
 func Clear(e *Entry, free ledger.Resources, most int, all []Victim) (stop []Victim, room int) {
 	need := e.Job.Need
+	if len(all) == 0 {
+		return nil, free.Times(need, most)
+	}
 	list := slices.DeleteFunc(slices.Clone(all), func(x Victim) bool {
 		return !mayStop(e, &x) || !x.Saves && x.Ran > wasteful
 	})
@@ -229,7 +231,9 @@
 		loss time.Duration
 		stop bool
 	}
-	zones := map[wire.Zone][]option{}
+	found := nearest[option]{most: j.Together(), order: func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.loss, b.loss), cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
+	}}
 	for _, m := range v.Machines {
 		v.Looked++
 		if taken[m.ID] || len(v.Reserved[m.ID]) > 0 || !v.open(e, m) || !m.Total.Fits(j.Need) {
@@ -244,19 +248,11 @@
 		for k := range stop {
 			o.loss += loss(&stop[k])
 		}
-		zone := m.Zone
-		if !j.Spec.OneZone {
-			zone = ""
-		}
-		zones[zone] = append(zones[zone], o)
+		found.add(m.Zone, o)
 	}
 	var best []Emptying
 	var bestLoss time.Duration
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		options := zones[zone]
-		slices.SortFunc(options, func(a, b option) int {
-			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.loss, b.loss), cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
-		})
+	for _, options := range found.places(j.Spec.OneZone) {
 		left, sum := j.Together(), time.Duration(0)
 		perZone := map[wire.Zone]int{}
 		var list []Emptying
