Placement asks the topology: gangs close together, small ones where they leave room whole

With a declared topology a gang goes where its cost is least among the machines that the ranks of its image leave (or the other way round, by setting), waits a bounded time for a closer place, and single tasks leave empty racks to gangs for some reports. Room for gangs is made where they sit closest among what costs no more to stop. Without one the path is as it was.

--- /dev/null
+++ b/internal/place/close_test.go
@@ -0,0 +1,202 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"maddermill/internal/ledger"
+	"maddermill/internal/place"
+	"maddermill/internal/topology"
+	"maddermill/wire"
+)
+
+// racks is a topology of two zones with two switches of two racks each, and its racks.
+func racks(t testing.TB, settings string) (*topology.Tree, []topology.Block) {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString(settings + ` level { name: "zone" cost: 16 } level { name: "switch" cost: 4 } level { name: "rack" cost: 1 }`)
+	for z := range 2 {
+		fmt.Fprintf(&b, " block { name: \"%c\"", 'a'+z)
+		for s := range 2 {
+			fmt.Fprintf(&b, " block { name: \"s%d-%d\" block { name: \"r%d-%d-0\" } block { name: \"r%d-%d-1\" } }", z, s, z, s, z, s)
+		}
+		b.WriteString(" }")
+	}
+	tree, err := topology.Parse([]byte(b.String()), []wire.Zone{"a", "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []topology.Block
+	for _, x := range tree.Blocks() {
+		if tree.Level(x) == "rack" {
+			out = append(out, x)
+		}
+	}
+	return tree, out
+}
+
+func submit(t testing.TB, l *ledger.Ledger, s *wire.JobSpec) *ledger.Job {
+	t.Helper()
+	d := l.NewDraft()
+	if err := d.Submit(s, 1); err != nil {
+		t.Fatal(err)
+	}
+	txn, _ := d.Txn()
+	known, _ := l.Counts()
+	l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: wire.Revision(known + 1)})
+	return l.Job(s.ID)
+}
+
+func gangSpec(id, tasks int) *wire.JobSpec {
+	return &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", id)), Team: "free", Shape: wire.Gang, Priority: wire.High, Tasks: tasks, CPUs: 4, Image: "i", ImageGB: 1, Spot: true}
+}
+
+// hall is a view of machines, eight a rack, of two tasks each.
+func hall(tree *topology.Tree, l *ledger.Ledger, blocks []topology.Block, rng *rand.Rand, full float64) *place.View {
+	v := &place.View{Now: start, TeamRoom: l.TeamRoom, Tree: tree, Limits: place.Limits{FetchMark: time.Minute, ColdStarts: 99, DeferCold: 9 * time.Second}}
+	for i, b := range blocks {
+		for k := range 8 {
+			m := &place.Machine{ID: wire.MachineID(fmt.Sprintf("host-%d-%d", i, k)), Type: "g", Zone: wire.Zone(tree.Path(b)[:1]), Usable: true, Spot: true, Block: b,
+				Total: ledger.NewResources(8, 0, 16), Images: place.NewImages(100), FetchGB: 1}
+			m.Free = m.Total
+			if rng.Float64() < full {
+				m.Free = ledger.NewResources(4*float64(rng.IntN(2)), 0, 16)
+			}
+			v.Machines = append(v.Machines, m)
+		}
+	}
+	return v
+}
+
+func costOf(v *place.View, g place.GangStart) topology.Cost {
+	var on []topology.Block
+	var counts []int
+	for _, p := range g.Parts {
+		on, counts = append(on, v.Machine(p.Site.Machine).Block), append(counts, p.Count)
+	}
+	return v.Tree.CostOf(on, counts)
+}
+
+// TestGangsSitClose: with a topology gangs cost a fraction of what they do without, on
+// machines that are partly full at random. The ratio is measured, and must be clear.
+func TestGangsSitClose(t *testing.T) {
+	tree, blocks := racks(t, "closer_wait_s: 0")
+	rng := rand.New(rand.NewPCG(4, 4))
+	var near, plain topology.Cost
+	placed := [2]int{}
+	for range 60 {
+		seed := rng.Uint64()
+		for i, with := range []bool{true, false} {
+			l := ledger.New(ledger.Limits{ValueBytes: 32 << 10, TxnOps: 40, TxnBytes: 64 << 10})
+			r := rand.New(rand.NewPCG(seed, 1))
+			v := hall(tree, l, blocks, r, 0.6)
+			for id := range 6 {
+				v.Queue = append(v.Queue, place.Entry{Job: submit(t, l, gangSpec(id, 2+r.IntN(7)))})
+			}
+			if !with {
+				v.Tree = nil
+			}
+			gangs := place.Gangs(v)
+			v.Tree = tree
+			for _, g := range gangs {
+				placed[i]++
+				if with {
+					near += costOf(v, g)
+				} else {
+					plain += costOf(v, g)
+				}
+			}
+		}
+	}
+	t.Logf("%d gangs placed with a topology, %d without; cost %.3f of theirs", placed[0], placed[1], float64(near)/float64(plain))
+	if placed[0] < placed[1] || near*2 > plain {
+		t.Errorf("%d gangs at a cost of %d, without topology %d at %d", placed[0], near, placed[1], plain)
+	}
+}
+
+// TestImageOrClosenessFirst: with images first a gang goes where its image is, however far
+// apart, and with closeness first where it sits close; either way it is placed.
+func TestImageOrClosenessFirst(t *testing.T) {
+	for setting, close := range map[string]bool{"first: IMAGE closer_wait_s: 0": false, "first: CLOSENESS closer_wait_s: 0": true} {
+		tree, blocks := racks(t, setting)
+		l := ledger.New(ledger.Limits{ValueBytes: 32 << 10, TxnOps: 40, TxnBytes: 64 << 10})
+		v := hall(tree, l, blocks, rand.New(rand.NewPCG(1, 1)), 0)
+		for i, m := range v.Machines {
+			if i%8 == 0 {
+				m.Images.Used("i", 1) // one a rack
+			}
+		}
+		v.Queue = []place.Entry{{Job: submit(t, l, gangSpec(1, 4))}}
+		gangs := place.Gangs(v)
+		if len(gangs) != 1 {
+			t.Fatalf("%s: not placed", setting)
+		}
+		near := true
+		for _, p := range gangs[0].Parts {
+			near = near && v.Machine(p.Site.Machine).Block == v.Machine(gangs[0].Parts[0].Site.Machine).Block
+		}
+		if near != close {
+			t.Errorf("%s: in one rack %v, at %v", setting, near, gangs[0].Parts)
+		}
+	}
+}
+
+// TestWaitForCloserIsBounded: a gang that would have to be split waits while a closer place
+// could come free, and then starts as close as it can; one for which no closer place
+// could ever be starts at once.
+func TestWaitForCloserIsBounded(t *testing.T) {
+	tree, blocks := racks(t, "closer_wait_s: 5")
+	for _, tc := range []struct {
+		tasks   int
+		waiting time.Duration
+		placed  bool
+	}{{4, 0, false}, {4, 4 * time.Second, false}, {4, 5 * time.Second, true}, {16, 0, false}, {128, 0, true}} {
+		l := ledger.New(ledger.Limits{ValueBytes: 32 << 10, TxnOps: 40, TxnBytes: 64 << 10})
+		v := hall(tree, l, blocks, rand.New(rand.NewPCG(1, 1)), 0)
+		if tc.tasks < 128 {
+			for i, m := range v.Machines {
+				if i%4 > 0 {
+					m.Free = ledger.Resources{} // two machines a rack are left, each with room for one
+				} else {
+					m.Free = ledger.NewResources(4, 0, 16)
+				}
+			}
+		}
+		v.Queue = []place.Entry{{Job: submit(t, l, gangSpec(1, tc.tasks)), Waiting: tc.waiting}}
+		if got := len(place.Gangs(v)) == 1; got != tc.placed {
+			t.Errorf("%d tasks after %v: placed %v", tc.tasks, tc.waiting, got)
+		}
+	}
+}
+
+// TestSingleTasksLeaveRacksWhole: an empty machine among empty ones is left to gangs while a
+// partly used one will do, but not for long, and not if none will do.
+func TestSingleTasksLeaveRacksWhole(t *testing.T) {
+	tree, blocks := racks(t, "")
+	for _, tc := range []struct {
+		name    string
+		broken  bool
+		waiting time.Duration
+		starts  int
+	}{{"a used machine elsewhere", true, 0, 0}, {"waited long enough", true, time.Minute, 1}, {"all are whole", false, 0, 1}} {
+		l := ledger.New(ledger.Limits{ValueBytes: 32 << 10, TxnOps: 40, TxnBytes: 64 << 10})
+		v := hall(tree, l, blocks, rand.New(rand.NewPCG(1, 1)), 0)
+		if tc.broken {
+			v.Machines[60].Free = ledger.NewResources(4, 0, 16)
+		}
+		s := gangSpec(1, 1)
+		s.Shape = wire.Array
+		v.Queue = []place.Entry{{Job: submit(t, l, s), Waiting: tc.waiting}}
+		if got := place.OnRoom(v, v.Machines[0]); len(got) != tc.starts {
+			t.Errorf("%s: %d starts on an empty machine", tc.name, len(got))
+		}
+		if tc.broken {
+			if got := place.OnRoom(v, v.Machines[60]); len(got) != 1 {
+				t.Errorf("%s: %d starts on the used machine", tc.name, len(got))
+			}
+		}
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"maddermill/internal/ledger"
+	"maddermill/internal/topology"
 	"maddermill/wire"
 )
 
@@ -37,7 +38,8 @@
 	Usable  bool // may be given tasks
 	Mine    bool // reports to this controller
 	Busy    []Busy
-	FetchGB float64 // a second
+	FetchGB float64        // a second
+	Block   topology.Block // where it is, if a topology is declared
 }
 
 // Busy is room that tasks take, and until when as far as can be foreseen.
@@ -237,6 +239,9 @@
 	// Reserved is the room that gangs will be given in a moment, in tasks.
 	Reserved map[wire.MachineID]map[wire.JobID]int
 
+	// Tree is the declared topology; nil: there is none.
+	Tree *topology.Tree
+
 	// Looked counts the entries and machines that decisions have looked at.
 	Looked int
 
@@ -246,6 +251,9 @@
 	least   *ledger.Resources
 	victims map[wire.MachineID][]Victim
 	evict   map[wire.JobID]*Eviction
+	ideal   map[string]topology.Cost // the least cost of gangs that are alike
+	whole   map[topology.Block]int   // empty machines
+	broken  []*Machine               // partly used ones
 }
 
 // index sorts the machines by what they are looked up by.
@@ -359,7 +367,7 @@
 				}
 				continue
 			}
-			if !v.open(e, m) {
+			if !v.open(e, m) || v.leftWhole(e, m) {
 				continue
 			}
 			n := room(e)
@@ -580,22 +588,11 @@
 func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) (best []ledger.Placed, bestRank int) {
 	j := e.Job
 	need := j.Together()
-	type option struct {
-		m    *Machine
-		room int
-		rank int
-		left int64 // GPUs and CPUs that stay free beside the gang
-	}
-	own := func(m *Machine) int {
-		if m.Spot {
-			return 0
-		}
-		return 1
-	}
-	found := nearest[option]{most: need, order: func(a, b option) int {
+	found := nearest[gangOption]{most: need, order: func(a, b gangOption) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
 			cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
 	}}
+	var all []gangOption // with a topology
 	total := 0
 	for _, m := range roomy {
 		v.Looked++
@@ -604,18 +601,25 @@
 			continue
 		}
 		free := m.Free.Add(j.Need, -room)
-		o := option{m, room, m.Images.rank(j.Spec.Image), free.GPU + free.CPU}
+		o := gangOption{m, room, m.Images.rank(j.Spec.Image), free.GPU + free.CPU}
 		if begun, also := fetches[m.ID]; o.rank == rankAbsent && (also || len(m.Images.fetching) > 0) {
 			if o.rank = rankBusy; begun == j.Spec.Image {
 				o.rank = rankUnderway
 			}
 		}
-		found.add(m.Zone, o)
+		if v.Tree != nil {
+			all = append(all, o)
+		} else {
+			found.add(m.Zone, o)
+		}
 		total += room
 	}
 	if total < need {
 		return nil, 0
 	}
+	if v.Tree != nil {
+		return v.closest(e, all)
+	}
 	for _, options := range found.places(j.Spec.OneZone) {
 		left, rank := need, 0
 		taken := map[wire.Zone]int{}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -224,14 +224,8 @@
 // roomFor chooses the machines to empty for one gang, none if that can't be enough.
 func (v *View) roomFor(e *Entry, taken map[wire.MachineID]bool) []Emptying {
 	j := e.Job
-	type option struct {
-		m    *Machine
-		room int
-		rank int
-		loss time.Duration
-		stop bool
-	}
-	found := nearest[option]{most: j.Together(), order: func(a, b option) int {
+	var all []roomOption // with a topology
+	found := nearest[roomOption]{most: j.Together(), order: func(a, b roomOption) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.loss, b.loss), cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
 	}}
 	for _, m := range v.Machines {
@@ -239,21 +233,25 @@
 		if taken[m.ID] || len(v.Reserved[m.ID]) > 0 || !v.open(e, m) || !m.Total.Fits(j.Need) {
 			continue
 		}
-		o := option{m: m, rank: m.Images.rank(j.Spec.Image)}
+		o := roomOption{m: m, rank: m.Images.rank(j.Spec.Image)}
 		stop, room := Clear(e, m.Free, j.Together(), v.victimsOn(m))
 		if room == 0 {
 			continue
 		}
-		o.room, o.stop = room, len(stop) > 0
+		o.room = room
 		for k := range stop {
 			o.loss += loss(&stop[k])
 		}
 		found.add(m.Zone, o)
+		if v.Tree != nil {
+			all = append(all, o)
+		}
 	}
 	var best []Emptying
 	var bestLoss time.Duration
+	var furthest roomOption // of the best: its rank and loss
 	for _, options := range found.places(j.Spec.OneZone) {
-		left, sum := j.Together(), time.Duration(0)
+		left, sum, far := j.Together(), time.Duration(0), roomOption{}
 		perZone := map[wire.Zone]int{}
 		var list []Emptying
 		for _, o := range options {
@@ -267,15 +265,29 @@
 			perZone[o.m.Zone] += n
 			left -= n
 			sum += o.loss
+			far.rank, far.loss = max(far.rank, o.rank), max(far.loss, o.loss)
 			list = append(list, Emptying{o.m, j.ID, n})
 		}
 		if left == 0 && (best == nil || sum < bestLoss) {
-			best, bestLoss = list, sum
+			best, bestLoss, furthest = list, sum, far
+		}
+	}
+	if v.Tree != nil && best != nil {
+		if list := v.closer(j, all, furthest.rank, furthest.loss); list != nil {
+			return list
 		}
 	}
 	return best
 }
 
+// roomOption is a machine on which room could be made for some of a gang's tasks.
+type roomOption struct {
+	m    *Machine
+	room int
+	rank int
+	loss time.Duration
+}
+
 // loss is the work that stopping a victim costs.
 func loss(v *Victim) time.Duration {
 	if v.Saves {
