Controllers read a topology, judge its blocks and tell of it; topology check and show

Each controller judges blocks by what all hear, tells peers of gangs that lost mates, and keeps new work off blocks that failed. GET /api/topology and maddermill topology show tell what is where.

--- a/cmd/maddermill/main.go
+++ b/cmd/maddermill/main.go
@@ -13,7 +13,7 @@
 const version = "0.1.0"
 
 func main() {
-	var config, operators string
+	var config, operators, topology string
 	root := &cobra.Command{
 		Use:           "maddermill --config FILE",
 		Short:         "A cluster scheduler: serves users' jobs and commands workers",
@@ -26,14 +26,16 @@
 			if config == "" {
 				return cmd.Help()
 			}
-			return serve(cmd.Context(), config, operators)
+			return serve(cmd.Context(), config, operators, topology)
 		},
 	}
 	root.PersistentFlags().StringVar(&config, "config", "", "the platform's settings `FILE` (TOML)")
 	root.PersistentFlags().StringVar(&operators, "operators", "", "the operators' own settings `FILE` (protobuf text format)")
-	root.AddCommand(
-		&cobra.Command{Use: "serve", Short: "Run a controller", Args: cobra.NoArgs, RunE: root.RunE},
-		checkCommand(&config, &operators), versionCommand(), jobCommand())
+	run := &cobra.Command{Use: "serve", Short: "Run a controller", Args: cobra.NoArgs, RunE: root.RunE}
+	for _, c := range []*cobra.Command{root, run} {
+		c.Flags().StringVar(&topology, "topology", "", "where machines are: a `FILE` in protobuf text format, read again when it changes or on SIGHUP")
+	}
+	root.AddCommand(run, checkCommand(&config, &operators), versionCommand(), jobCommand(), topologyCommand(&config))
 	if err := root.Execute(); err != nil {
 		os.Stderr.WriteString("maddermill: " + oneLine(err) + "\n")
 		os.Exit(1)
--- a/cmd/maddermill/serve.go
+++ b/cmd/maddermill/serve.go
@@ -42,7 +42,7 @@
 	userShare   = 0.6
 )
 
-func serve(ctx context.Context, config, operators string) error {
+func serve(ctx context.Context, config, operators, topology string) error {
 	set, err := settings.Load(config, operators)
 	if err != nil {
 		return err
@@ -79,6 +79,17 @@
 		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 1, MaxBody: held},
 		set.Cluster.State.RPS, set.Cluster.State.WriteRPS, set.Cluster.Count, set.Cluster.State.TxnOps)
 	core := controller.New(set, store, log)
+	var reread chan os.Signal
+	if topology != "" {
+		t, err := controller.ReadTopology(topology, set.Cluster.Zones)
+		if err != nil {
+			return err
+		}
+		core.SetTopology(t)
+		reread = make(chan os.Signal, 1)
+		signal.Notify(reread, syscall.SIGHUP)
+		defer signal.Stop(reread)
+	}
 	cl := cloud.NewClient(&http1.Client{Dialer: dialer, Addr: set.Outside.Cloud, MaxIdle: 1, MaxBody: 4 << 20}, set.Cluster.Cloud.RPS)
 
 	sockets := quota.Sockets
@@ -91,6 +102,9 @@
 	log.Info("starting", "version", version, "bind", set.Bind, "mesh", set.MeshAddr, "objectives", len(set.Cluster.Objectives))
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return core.Run(ctx, dialer, cl) })
+	if topology != "" {
+		g.Go(func() error { return core.WatchTopology(ctx, topology, reread) })
+	}
 	g.Go(func() error { return transport.Serve(ctx, set.Bind, int(listenShare*float64(sockets)), server.Serve) })
 	err = g.Wait()
 	if errors.Is(err, context.Canceled) {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -26,6 +26,7 @@
 	Status(ctx context.Context, id wire.JobID) (wire.JobStatus, error)
 	Cancel(ctx context.Context, id wire.JobID) (wire.JobStatus, error)
 	Report(ctx context.Context, r *wire.Report) controller.ReportAnswer
+	Topology(now time.Time) (wire.TopologyView, bool)
 	Healthy() bool
 }
 
@@ -144,6 +145,12 @@
 		}
 		return s.limited("submission", func() *http1.Response { return s.submit(ctx, q.Body) })
 	}
+	if q.Path == "/api/topology" {
+		if q.Method != "GET" {
+			return notAllowed("GET")
+		}
+		return s.limited("poll", s.topology)
+	}
 	rest, ok := strings.CutPrefix(q.Path, "/api/jobs/")
 	if !ok {
 		return problem(404, "no such path")
@@ -228,6 +235,18 @@
 	return reply(200, st)
 }
 
+func (s *Server) topology() *http1.Response {
+	v, ok := s.Service.Topology(time.Now())
+	if !ok {
+		return problem(404, "no topology is declared, or the controller is starting")
+	}
+	body, err := v.AppendLines(nil)
+	if err != nil {
+		return problem(500, err.Error())
+	}
+	return &http1.Response{Status: 200, Body: body, Header: http1.Header{{Name: "content-type", Value: "application/x-ndjson"}}}
+}
+
 func (s *Server) report(ctx context.Context, body []byte) *http1.Response {
 	var r wire.Report
 	if err := json.Unmarshal(body, &r); err != nil || r.Machine == "" || r.Session == 0 {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -48,6 +48,9 @@
 	return controller.ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: 3, Commands: []wire.Command{}}}
 }
 func (service) Healthy() bool { return true }
+func (service) Topology(time.Time) (wire.TopologyView, bool) {
+	return wire.TopologyView{Blocks: []wire.BlockView{{Path: "a", Level: "zone"}}, Gangs: []wire.GangView{{Job: "wk-000001"}}}, true
+}
 
 // TestOverTheWire serves on a loopback port through gnet, and asks both through
 // our client and with bytes that no client of ours would send.
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -59,6 +59,7 @@
 	making           map[wire.MachineID]room
 	awaited, overdue int                     // as the leader: machines rented and not yet up
 	asking           map[wire.MachineID]room // as the leader: what holders are asked to empty
+	places           places
 
 	barriers   chan *barrier
 	pendingMu  sync.Mutex
@@ -135,6 +136,13 @@
 	gauge("machines_overdue", func() float64 { return float64(c.overdue) })
 	gauge("machines_held", func() float64 { return float64(len(c.workers)) })
 	gauge("ledger_revision", func() float64 { return float64(c.led.Revision()) })
+	gauge("blocks_down", func() float64 {
+		if c.places.tree == nil {
+			return 0
+		}
+		return float64(len(c.places.health.DownBlocks()))
+	})
+	gauge("machines_of_unknown_place", func() float64 { return float64(c.places.unknown) })
 	gauge("contact_age_seconds", func() float64 { return time.Since(c.contact).Seconds() })
 	return c
 }
@@ -462,13 +470,13 @@
 	for _, o := range c.classes {
 		s.Classes = append(s.Classes, *o)
 	}
-	s.Suspects, s.Emptying = c.suspects(now), c.asked(now)
+	s.Suspects, s.Emptying, s.Partings = c.suspects(now), c.asked(now), c.partings(now)
 	for _, w := range c.workers {
 		if now.Sub(w.Heard) > 2*time.Minute {
 			continue
 		}
 		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold,
-			AgeMS: now.Sub(w.Heard).Milliseconds(), Usable: c.usable(w, now), Faulty: c.faulty(w, now)}
+			Endpoint: c.endpointOf(w), AgeMS: now.Sub(w.Heard).Milliseconds(), Usable: c.usable(w, now), Faulty: c.faulty(w, now)}
 		if !w.Recall.IsZero() {
 			m.Recall = max(1, w.Recall.Sub(now).Milliseconds())
 		}
@@ -491,6 +499,7 @@
 	}
 	p.status, p.asked = a.Status, a.Asked
 	c.hearSuspects(a.Status.Suspects, a.Asked)
+	c.hearPartings(a.Status.Partings, a.Asked)
 	c.hearEmptying(a.Status.Member, a.Status.Emptying, a.Asked, time.Now())
 }
 
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -334,7 +334,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l.listen(now)
-	silent := 2*c.set.Cluster.Workers.Report.Duration() + 2*time.Second
+	silent := c.silentAfter()
 	known, heard, total := map[wire.Zone]int{}, map[wire.Zone]int{}, 0
 	for _, u := range l.units {
 		if u.heard.After(l.began) {
--- a/internal/controller/picture.go
+++ b/internal/controller/picture.go
@@ -46,7 +46,7 @@
 // look makes a new picture.
 func (c *Core) look(now time.Time) *place.View {
 	c.led.Touched(func(wire.MachineID) {}) // all are read anew
-	v := &place.View{Now: now, Queue: c.order(now), TeamRoom: c.led.TeamRoom, Machines: c.machines(now),
+	v := &place.View{Now: now, Queue: c.order(now), TeamRoom: c.led.TeamRoom, Machines: c.machines(now), Tree: c.places.tree,
 		Limits: place.Limits{Starts: c.set.Cluster.State.TxnOps, ColdStarts: c.set.Operators.ColdStarts, FetchMark: c.set.Operators.FetchMark,
 			WithholdAfter: c.set.Operators.WithholdAfter, DeferCold: 3 * c.set.Cluster.Workers.Report.Duration()}}
 	if c.set.Operators.Preempt {
@@ -79,8 +79,9 @@
 
 // machineOf is a machine held here, as placement sees it.
 func (c *Core) machineOf(w *workers.Worker, now time.Time) *place.Machine {
-	m := &place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold,
-		Images: c.imagesOf(w), Usable: c.usable(w, now), Mine: true}
+	block, up := c.locate(w.ID, w.Addr, w.Zone)
+	m := &place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold, Block: block,
+		Images: c.imagesOf(w), Usable: up && c.usable(w, now), Mine: true}
 	c.setRoom(m, now)
 	return m
 }
@@ -88,8 +89,9 @@
 // machineOfPeer is a machine that a peer holds, as it was at a time.
 func (c *Core) machineOfPeer(o *mesh.Machine, at, now time.Time) *place.Machine {
 	f, _ := c.led.Flavor(o.Type)
-	m := &place.Machine{ID: o.ID, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Session: o.Session, Token: o.Token,
-		Images: place.NewImages(f.CacheGB), Usable: o.Usable}
+	block, up := c.locate(o.ID, o.Endpoint, o.Zone)
+	m := &place.Machine{ID: o.ID, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Session: o.Session, Token: o.Token, Block: block,
+		Images: place.NewImages(f.CacheGB), Usable: up && o.Usable}
 	for _, name := range o.Images {
 		m.Images.Used(name, 0)
 	}
@@ -126,7 +128,7 @@
 
 // machines lists every machine that some controller has heard lately.
 func (c *Core) machines(now time.Time) []*place.Machine {
-	silent := 2*c.set.Cluster.Workers.Report.Duration() + 2*time.Second
+	silent := c.silentAfter()
 	byID := map[wire.MachineID]*place.Machine{}
 	heard := map[wire.MachineID]time.Time{}
 	for _, w := range c.workers {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -220,6 +220,8 @@
 			n.avoid[w.ID] = now
 		case wire.CauseUnknown:
 			n.retry = now.Add(5 * time.Second)
+		case wire.CausePeers:
+			c.parts(j, e.Held.Attempt, now)
 		case wire.CauseAlone:
 			n.retry = now.Add(2 * time.Second)
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,6 +37,7 @@
 	Faulty   bool            `cbor:"10,keyasint,omitempty" json:"f,omitempty"`
 	Images   []wire.Image    `cbor:"11,keyasint,omitempty" json:"c,omitempty"`
 	Fetching []wire.Image    `cbor:"12,keyasint,omitempty" json:"g,omitempty"`
+	Endpoint string          `cbor:"13,keyasint,omitempty" json:"e,omitempty"` // where a topology is declared
 }
 
 // Status is a controller's picture.
@@ -52,6 +53,15 @@
 	Classes   []ClassSum    `cbor:"9,keyasint" json:"cl,omitempty"`
 	Suspects  []Suspect     `cbor:"10,keyasint,omitempty" json:"-"` // a stored value is small
 	Emptying  []Emptying    `cbor:"11,keyasint,omitempty" json:"-"`
+	Partings  []Parting     `cbor:"12,keyasint,omitempty" json:"-"`
+}
+
+// Parting is a gang that lost mates although all its machines answer, and the innermost
+// block of the declared topology that they are all in.
+type Parting struct {
+	Job   wire.JobID `cbor:"1,keyasint"`
+	Block string     `cbor:"2,keyasint"`
+	AgeMS int64      `cbor:"3,keyasint"`
 }
 
 // Emptying is a machine that the fleet's leader asks its holder to empty for tasks of
--- a/internal/topology/tree.go
+++ b/internal/topology/tree.go
@@ -4,7 +4,6 @@
 package topology
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -31,6 +30,9 @@
 
 const costUnit = 1000
 
+// Stated is the cost in the unit of the file.
+func (c Cost) Stated() float64 { return float64(c) / costUnit }
+
 // Level is one kind of block, outermost first.
 type Level struct {
 	Name string
@@ -77,8 +79,8 @@
 	mostCost    = 1e6
 )
 
-// Parse reads and checks a topology in protobuf text format. zones are the platform's.
-// All that is wrong is told at once, each with its line.
+// Parse reads and checks a topology in protobuf text format. zones are the platform's;
+// with none given any zone is taken. All that is wrong is told at once, each with its line.
 func Parse(text []byte, zones []wire.Zone) (*Tree, error) {
 	var m topologypb.Topology
 	if err := prototext.Unmarshal(text, &m); err != nil {
@@ -190,7 +192,7 @@
 	for i, b := range m.Block {
 		n := at(blocks, i)
 		zone := wire.Zone(b.Name)
-		if !slices.Contains(zones, zone) {
+		if len(zones) > 0 && !slices.Contains(zones, zone) {
 			p.fail(n, "block.name", "unknown zone %q", b.Name)
 		}
 		t.zones[zone] = p.block(b, n, 0, 0, zone)
@@ -330,24 +332,24 @@
 // Apart is what a pair of tasks costs that is on two machines of these blocks: the sum
 // over the levels in which they are apart, and over their being two machines.
 func (t *Tree) Apart(a, b Block) Cost {
+	return t.within(t.Common(a, b))
+}
+
+// Common is the innermost block that two blocks are both in, 0 if there is none.
+func (t *Tree) Common(a, b Block) Block {
 	for a != b {
 		if a == 0 || b == 0 {
-			return t.apart[0]
+			return 0
 		}
 		x, y := &t.blocks[a], &t.blocks[b]
-		switch cmp.Compare(x.level, y.level) {
-		case 1:
+		if x.level >= y.level {
 			a = x.parent
-		case -1:
+		}
+		if y.level >= x.level {
 			b = y.parent
-		default:
-			a, b = x.parent, y.parent
 		}
 	}
-	if a == 0 {
-		return t.apart[0]
-	}
-	return t.apart[t.blocks[a].level+1]
+	return a
 }
 
 // within is what a pair on two machines costs whose innermost common block it is.
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -20,6 +20,7 @@
 // it is durable: another controller starts from the ledger and one report round.
 type Worker struct {
 	ID      wire.MachineID
+	Addr    string // its endpoint
 	Type    wire.MachineSKU
 	Zone    wire.Zone
 	Spot    bool
@@ -43,7 +44,7 @@
 
 // NewWorker returns a worker first heard now.
 func NewWorker(r *wire.Report, now time.Time) *Worker {
-	return &Worker{ID: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, First: now,
+	return &Worker{ID: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, First: now,
 		Errors: map[wire.JobID]time.Time{}, stop: map[claimID]bool{},
 		sent: map[claimID]wire.Tally{}, dropped: map[claimID]bool{}, running: map[claimID]wire.TaskState{}, since: map[claimID]time.Time{}}
 }
@@ -93,7 +94,7 @@
 		clear(w.since)
 	}
 	w.Session, w.Tally, w.Heard, w.Hold = r.Session, r.Tally, now, hold
-	w.Type, w.Zone, w.Spot = r.Type, r.Zone, r.Spot
+	w.Addr, w.Type, w.Zone, w.Spot = r.Addr, r.Type, r.Zone, r.Spot
 	w.Fresh = r.Token == hold
 	w.Recall = time.Time{}
 	if r.Notice != nil {
--- /dev/null
+++ b/wire/topology.go
@@ -0,0 +1,93 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// TopologyView is what a controller tells of the declared topology: GET /api/topology,
+// a JSON object a line, each with one of the fields block, machine and gang.
+type TopologyView struct {
+	Blocks   []BlockView
+	Machines []MachineView
+	Gangs    []GangView
+}
+
+// BlockView is a block; outer ones come before what is in them.
+type BlockView struct {
+	Path     string `json:"path"` // "soar/switch-2/rack-5"
+	Level    string `json:"level"`
+	Down     bool   `json:"down"` // it, or what it is in, is taken to have failed
+	Machines int    `json:"machines"`
+	Empty    int    `json:"empty"` // machines without tasks
+}
+
+// MachineView is a machine that some controller has heard lately.
+type MachineView struct {
+	Machine MachineID `json:"machine"`
+	Block   string    `json:"block"` // "" if nothing is known of its place
+	Usable  bool      `json:"usable"`
+	CPUs    float64   `json:"cpus"` // free
+	GPUs    float64   `json:"gpus"`
+	RAM     float64   `json:"ram_gb"`
+	Jobs    []JobID   `json:"jobs,omitempty"`
+}
+
+// GangView is a gang of several tasks that has its machines.
+type GangView struct {
+	Job      JobID       `json:"job"`
+	Tasks    int         `json:"tasks"`
+	Block    string      `json:"block"` // the innermost that all its machines are in, "" if there is none
+	Cost     float64     `json:"cost"`
+	Machines []MachineID `json:"machines"`
+}
+
+type topologyLine struct {
+	Block   *BlockView   `json:"block,omitempty"`
+	Machine *MachineView `json:"machine,omitempty"`
+	Gang    *GangView    `json:"gang,omitempty"`
+}
+
+// AppendLines appends the view, a JSON object a line.
+func (v *TopologyView) AppendLines(b []byte) ([]byte, error) {
+	buf := bytes.NewBuffer(b)
+	out := json.NewEncoder(buf)
+	for i := range v.Blocks {
+		if err := out.Encode(topologyLine{Block: &v.Blocks[i]}); err != nil {
+			return nil, err
+		}
+	}
+	for i := range v.Machines {
+		if err := out.Encode(topologyLine{Machine: &v.Machines[i]}); err != nil {
+			return nil, err
+		}
+	}
+	for i := range v.Gangs {
+		if err := out.Encode(topologyLine{Gang: &v.Gangs[i]}); err != nil {
+			return nil, err
+		}
+	}
+	return buf.Bytes(), nil
+}
+
+// DecodeTopology reads what AppendLines wrote. Lines of kinds that it doesn't know are
+// passed over.
+func DecodeTopology(b []byte) (TopologyView, error) {
+	var v TopologyView
+	for i, line := range bytes.Split(bytes.TrimSpace(b), []byte("\n")) {
+		var l topologyLine
+		if err := json.Unmarshal(line, &l); err != nil {
+			return v, fmt.Errorf("wire: line %d: %w", i+1, err)
+		}
+		switch {
+		case l.Block != nil:
+			v.Blocks = append(v.Blocks, *l.Block)
+		case l.Machine != nil:
+			v.Machines = append(v.Machines, *l.Machine)
+		case l.Gang != nil:
+			v.Gangs = append(v.Gangs, *l.Gang)
+		}
+	}
+	return v, nil
+}
