A switch that fails under gangs, on stand-ins whose gangs wait for and miss their mates

Stand-ins now model gangs: tasks wait for their mates, run together, and exit when one is missing. A switch dies, comes back half, flaps, dies in an outage of the state service and as the leader ends, under a gang inside it and one across it. A block is judged only once its silence has lasted a report, so that a switch is told once and not rack by rack.

--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -19,6 +19,7 @@
 	"maddermill/internal/mesh"
 	"maddermill/internal/settings"
 	"maddermill/internal/standin"
+	"maddermill/internal/topology"
 	"maddermill/wire"
 )
 
@@ -87,7 +88,12 @@
 	freezeAt string // the step at which a controller is to stand still, once
 	frozen   bool
 	quiet    bool // no other troubles
+	calm     bool // and no report or answer is late or lost; idle machines are kept
 	over     bool
+
+	tree *topology.Tree                     // declared to all controllers, if given
+	told func(msg string, a map[string]any) // what controllers log, if given
+	dead func(*standin.Machine) bool        // machines that are out of reach, if given
 }
 
 func (h *history) chance(n int) int {
@@ -124,7 +130,16 @@
 	if os.Getenv("HISTORY_LOG") != "" {
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("member", i)
 	}
+	if h.told != nil {
+		log = slog.New(listening{log.Handler(), h.told})
+	}
 	c := New(testSettings(h.t, i), h.links[i], log)
+	if h.calm {
+		c.set.Operators.IdleBoots = 1000
+	}
+	if h.tree != nil {
+		c.SetTopology(h.tree)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	h.mu.Lock()
 	h.cores[i], h.lives[i], h.stop[i] = c, ctx, cancel
@@ -258,16 +273,19 @@
 
 // work is a worker's loop, with lost answers and reports that arrive late.
 func (h *history) work(ctx context.Context, m *standin.Machine) {
-	at := h.chance(3)
+	at, retry := h.chance(3), false
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(2200+h.chance(1500))*time.Millisecond)
+		if !retry { // one that was sent elsewhere tries there a second later
+			sleep(ctx, time.Duration(2200+h.chance(1500))*time.Millisecond)
+		}
+		retry = false
 		r, begun := m.Report()
 		if r == nil {
 			continue
 		}
 		c := h.core(at)
 		if c == nil {
-			at = (at + 1) % 3
+			at, retry = (at+1)%3, true
 			sleep(ctx, time.Second)
 			continue
 		}
@@ -282,7 +300,7 @@
 			sleep(ctx, 4*time.Second)
 			continue
 		}
-		if h.chance(12) == 0 {
+		if !h.calm && h.chance(12) == 0 {
 			// This one is held back; the worker gives up and goes on elsewhere.
 			late, to, delay := *r, at, time.Duration(1+h.chance(40))*time.Second
 			h.group.Go(func() {
@@ -298,9 +316,9 @@
 		a := c.Report(ctx, r)
 		switch {
 		case a.Status != 200:
-			at = (at + 1) % 3
+			at, retry = (at+1)%3, true
 			sleep(ctx, time.Second)
-		case h.chance(15) == 0 || h.links[at].Frozen() > 0: // the answer is lost
+		case !h.calm && h.chance(15) == 0 || h.links[at].Frozen() > 0: // the answer is lost
 		default:
 			m.Answer(begun, r.Session, a.Response)
 		}
@@ -456,22 +474,7 @@
 func (h *history) play(d time.Duration, jobs int, lossy float64) (finished int) {
 	ctx, cancel := context.WithCancel(h.t.Context())
 	defer cancel()
-	for _, l := range h.links {
-		l.Lossy = lossy
-	}
-	h.cloud.Started = func(m *standin.Machine) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		if !h.over { // a machine may come up while the group is already waited for
-			h.group.Go(func() { h.work(ctx, m) })
-		}
-	}
-	for i := range 4 {
-		h.cloud.Add("g2", []wire.Zone{"a", "b"}[i%2], i%2 == 1)
-	}
-	for i := range 3 {
-		h.startCore(ctx, i)
-	}
+	h.begin(ctx, 4, lossy)
 	for i := range jobs {
 		spec := h.spec(i)
 		after := time.Duration(h.chance(int(d/time.Second)*2/3)) * time.Second
@@ -488,16 +491,7 @@
 	for at := 0; ; at++ {
 		select {
 		case <-end:
-			h.world.Check()
-			cancel()
-			for i := range 3 {
-				h.crash(i)
-			}
-			h.mu.Lock()
-			h.over = true
-			h.mu.Unlock()
-			h.group.Wait()
-			time.Sleep(time.Minute) // what was delayed still comes
+			h.finish(cancel)
 			return finished
 		case <-time.After(time.Second):
 			h.world.Check()
@@ -508,6 +502,58 @@
 	}
 }
 
+// begin starts machines and all controllers.
+func (h *history) begin(ctx context.Context, machines int, lossy float64) {
+	for _, l := range h.links {
+		l.Lossy = lossy
+	}
+	h.cloud.Started = func(m *standin.Machine) {
+		if h.dead != nil && h.dead(m) {
+			m.Hang(true)
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if !h.over { // a machine may come up while the group is already waited for
+			h.group.Go(func() { h.work(ctx, m) })
+		}
+	}
+	for i := range machines {
+		h.cloud.Add("g2", []wire.Zone{"a", "b"}[i%2], i%2 == 1)
+	}
+	for i := range 3 {
+		h.startCore(ctx, i)
+	}
+}
+
+// finish ends all that runs and lets come what was delayed.
+func (h *history) finish(cancel context.CancelFunc) {
+	h.world.Check()
+	cancel()
+	for i := range 3 {
+		h.crash(i)
+	}
+	h.mu.Lock()
+	h.over = true
+	h.mu.Unlock()
+	h.group.Wait()
+	time.Sleep(time.Minute)
+}
+
+// listening is a log handler that also tells what is logged.
+type listening struct {
+	slog.Handler
+	told func(msg string, a map[string]any)
+}
+
+func (l listening) Handle(ctx context.Context, r slog.Record) error {
+	a := map[string]any{}
+	r.Attrs(func(x slog.Attr) bool { a[x.Key] = x.Value.Any(); return true })
+	l.told(r.Message, a)
+	return l.Handler.Handle(ctx, r)
+}
+
+func (l listening) Enabled(context.Context, slog.Level) bool { return true }
+
 // seeds is how many histories are played; HISTORY_SEEDS asks for more.
 func seeds() uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("HISTORY_SEEDS"), 10, 32); err == nil {
--- /dev/null
+++ b/internal/controller/switch_test.go
@@ -0,0 +1,213 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"maddermill/internal/standin"
+	"maddermill/internal/topology"
+	"maddermill/wire"
+)
+
+// hallText declares what stand-ins make up: two zones, two switches of two racks each.
+func hallText() string {
+	var b strings.Builder
+	b.WriteString(`level { name: "zone" cost: 16 } level { name: "switch" cost: 4 } level { name: "rack" cost: 1 } closer_wait_s: 5`)
+	for z, zone := range []string{"a", "b"} {
+		fmt.Fprintf(&b, "\nblock { name: %q", zone)
+		for s := range 2 {
+			fmt.Fprintf(&b, "\n block { name: \"s%s%d\"", zone, s)
+			for r := range 2 {
+				fmt.Fprintf(&b, "\n  block { name: \"r%s%d%d\" prefix: \"127.%d.%d.0/24\" }", zone, s, r, z+1, 2*s+r+1)
+			}
+			b.WriteString(" }")
+		}
+		b.WriteString(" }")
+	}
+	return b.String()
+}
+
+// outage is a switch that fails under gangs, on stand-ins.
+type outage struct {
+	*history
+	tree  *topology.Tree
+	mu    sync.Mutex
+	down  topology.Block
+	lost  []string // machines marked as lost
+	falls []string // blocks that controllers said had failed
+}
+
+func (o *outage) block(m *standin.Machine) topology.Block {
+	b, _ := o.tree.Locate(m.Type.ID, m.Type.Addr, m.Type.Zone)
+	return b
+}
+
+// inside reports whether a machine is in a block.
+func (o *outage) inside(m *standin.Machine, b topology.Block) bool {
+	return b != 0 && o.tree.Common(o.block(m), b) == b
+}
+
+// fail cuts a switch off, or part of it, or brings all of it back.
+func (o *outage) fail(b topology.Block, keep int) {
+	o.mu.Lock()
+	o.down = b
+	o.mu.Unlock()
+	for _, m := range o.cloud.Up() {
+		hang := o.inside(m, b)
+		if hang && keep > 0 {
+			keep--
+			hang = false
+		}
+		m.Hang(hang)
+	}
+}
+
+// TestSwitchFailsUnderGangs: a switch dies with gangs inside it and across it, comes back
+// half, flaps, dies in an outage of the state service and as the leader ends. No rule is
+// broken, all gangs run whole elsewhere before long, no machine that works is given up,
+// and one line tells of the switch.
+func TestSwitchFailsUnderGangs(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fails func(ctx context.Context, o *outage, s topology.Block)
+		flaps bool // it is never away for so long that a machine counts as lost
+	}{
+		{"dies", func(_ context.Context, o *outage, s topology.Block) { o.fail(s, 0) }, false},
+		{"comes back half", func(ctx context.Context, o *outage, s topology.Block) {
+			o.fail(s, 0)
+			sleep(ctx, 40*time.Second)
+			o.fail(s, 3)
+		}, false},
+		{"flaps", func(ctx context.Context, o *outage, s topology.Block) {
+			for range 3 {
+				o.fail(s, 0)
+				sleep(ctx, 7*time.Second) // with two reports' time, less than what counts as lost
+				o.fail(0, 0)
+				sleep(ctx, 8*time.Second)
+			}
+		}, true},
+		{"dies in an outage", func(ctx context.Context, o *outage, s topology.Block) {
+			for _, l := range o.links {
+				l.SetDown(true)
+			}
+			sleep(ctx, 4*time.Second)
+			o.fail(s, 0)
+			sleep(ctx, 12*time.Second)
+			o.store.Extend()
+			for _, l := range o.links {
+				l.SetDown(false)
+			}
+		}, false},
+		{"dies and the leader ends", func(ctx context.Context, o *outage, s topology.Block) {
+			o.fail(s, 0)
+			sleep(ctx, 10*time.Second)
+			for i := range 3 {
+				c := o.core(i)
+				c.mu.Lock()
+				leads, _ := c.led.Leader()
+				c.mu.Unlock()
+				if leads.Member == c.set.Member {
+					o.crash(i)
+					sleep(ctx, 5*time.Second)
+					o.startCore(ctx, i)
+					return
+				}
+			}
+		}, false},
+	} {
+		for _, under := range []wire.JobID{"wk-000001", "wk-000002"} { // inside one switch, and across two
+			t.Run(fmt.Sprint(tc.name, " under ", under), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playOutage(t, tc.fails, under, tc.flaps) })
+			})
+		}
+	}
+}
+
+func playOutage(t *testing.T, fails func(context.Context, *outage, topology.Block), under wire.JobID, flaps bool) {
+	tree, err := topology.Parse([]byte(hallText()), []wire.Zone{"a", "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := newHistory(t, 11)
+	o := &outage{history: h, tree: tree}
+	h.quiet, h.calm, h.tree, h.cloud.Most = true, true, tree, 32
+	h.cloud.Run = func(wire.TaskID) time.Duration { return 3 * time.Minute }
+	h.dead = func(m *standin.Machine) bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.inside(m, o.down)
+	}
+	h.told = func(msg string, a map[string]any) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		switch {
+		case msg == "machine leaves" && a["why"] == "lost":
+			o.lost = append(o.lost, fmt.Sprint(a["machine"]))
+		case strings.HasPrefix(msg, "block failed"):
+			o.falls = append(o.falls, fmt.Sprint(a["block"]))
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	h.begin(ctx, 24, 0)
+	gangs := []wire.JobID{"wk-000000", "wk-000001", "wk-000002"}
+	finished := 0
+	for i, tasks := range []int{4, 10, 18} {
+		spec := &wire.JobSpec{ID: gangs[i], Class: "c", Team: "free", Shape: wire.Gang, Priority: wire.High, Tasks: tasks, CPUs: 2, GPUs: 1, MemoryGB: 4,
+			Image: "img-1", ImageGB: 2, Spot: true, Estimate: 180, Checkpoint: 5, Save: 2}
+		h.group.Go(func() { h.user(ctx, spec, 0, &finished) })
+		sleep(ctx, 2*time.Second)
+	}
+	whole := func() bool {
+		return !slices.ContainsFunc(gangs, func(g wire.JobID) bool { return !h.world.Whole(g) })
+	}
+	wait := func(limit int) int {
+		for s := range limit {
+			if whole() {
+				return s
+			}
+			sleep(ctx, time.Second)
+		}
+		return -1
+	}
+	if wait(90) < 0 {
+		t.Fatal("the gangs do not run to begin with")
+	}
+	machines := map[wire.MachineID]*standin.Machine{}
+	for _, m := range h.cloud.Up() {
+		machines[m.Type.ID] = m
+	}
+	first := machines[h.world.On(under)[0]]
+	s := tree.Parent(o.block(first))
+	began := time.Now()
+	fails(ctx, o, s)
+	sleep(ctx, time.Second)
+	after := wait(150)
+	o.mu.Lock()
+	t.Logf("whole again %.0f s after %s failed under %s; failed: %v, lost: %v", time.Since(began).Seconds(), tree.Path(s), under, o.falls, o.lost)
+	if after < 0 {
+		t.Error("the gangs do not run whole again")
+	}
+	for _, id := range o.lost {
+		m := machines[wire.MachineID(id)]
+		if flaps || m != nil && !o.inside(m, s) {
+			t.Errorf("%s was given up, which works", id)
+		}
+	}
+	for _, b := range o.falls {
+		if b != tree.Path(s) {
+			t.Errorf("%s is said to have failed", b)
+		}
+	}
+	o.mu.Unlock()
+	h.finish(cancel)
+	for _, b := range h.world.Broken {
+		t.Errorf("broken: %s", b)
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -21,11 +21,12 @@
 	Run     func(wire.TaskID) time.Duration
 	Started func(*Machine)
 
-	mu    sync.Mutex
-	next  int
-	all   []*rented
-	hires map[wire.HireName][]wire.MachineID
-	Down  bool
+	mu     sync.Mutex
+	next   int
+	inZone map[int]int // machines so far
+	all    []*rented
+	hires  map[wire.HireName][]wire.MachineID
+	Down   bool
 }
 
 type rented struct {
@@ -118,7 +119,7 @@
 		}
 	}
 	m := &Machine{World: c.World, Lease: c.Lease, Run: c.Run, GPUs: f.GPUs,
-		Type: wire.ListedMachine{ID: id, Type: t, Zone: z, Spot: spot, Addr: "10.9.9.9:9000"}}
+		Type: wire.ListedMachine{ID: id, Type: t, Zone: z, Spot: spot, Addr: c.endpoint(slices.Index(f.Zones, z))}}
 	now := time.Now()
 	c.all = append(c.all, &rented{m: m, at: now, up: now.Add(boot)})
 	time.AfterFunc(boot, func() {
@@ -135,6 +136,20 @@
 	return id
 }
 
+// racksPerZone is how many racks a zone has. Two at a time share a switch.
+const racksPerZone = 4
+
+// endpoint makes up where a zone's next machine is: on loopback, a network a rack. It is
+// called 127.ZONE.RACK.MACHINE, both counted from 1.
+func (c *Cloud) endpoint(zone int) string {
+	if c.inZone == nil {
+		c.inZone = map[int]int{}
+	}
+	n := c.inZone[zone]
+	c.inZone[zone]++
+	return fmt.Sprintf("127.%d.%d.%d:9000", zone+1, n%racksPerZone+1, n/racksPerZone%250+1)
+}
+
 // Return implements the controllers' view of the cloud.
 func (c *Cloud) Return(_ context.Context, names []wire.MachineID) error {
 	if err := c.travel(); err != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -14,6 +14,8 @@
 	specs   map[wire.JobID]*wire.JobSpec
 	on      map[wire.TaskID]wire.MachineID // machines that tasks are on
 	zoneOf  map[wire.TaskID]wire.Zone
+	mates   map[wire.TaskID]mate // gangs' tasks that have their image
+	hung    map[wire.MachineID]bool
 	TeamMax map[wire.Team]float64 // GPUs
 	done    map[wire.TaskID]bool
 	told    map[wire.JobID]toldState
@@ -22,6 +24,18 @@
 	Starts  int
 }
 
+// mate is a gang's task as its mates see it.
+type mate struct {
+	attempt wire.Attempt
+	on      wire.MachineID
+}
+
+// Times after which a gang's task gives up: waiting for its mates, and missing one.
+const (
+	gangWait = 30 * time.Second
+	gangPeer = 5 * time.Second
+)
+
 type toldState struct {
 	status wire.Status
 	at     time.Time
@@ -30,6 +44,7 @@
 // NewWorld returns a world in which nothing has happened.
 func NewWorld(cancel time.Duration) *World {
 	return &World{specs: map[wire.JobID]*wire.JobSpec{}, on: map[wire.TaskID]wire.MachineID{}, zoneOf: map[wire.TaskID]wire.Zone{},
+		mates: map[wire.TaskID]mate{}, hung: map[wire.MachineID]bool{},
 		TeamMax: map[wire.Team]float64{}, done: map[wire.TaskID]bool{}, told: map[wire.JobID]toldState{}, CancelS: cancel}
 }
 
@@ -104,7 +119,20 @@
 	}
 }
 
+// gangWhole reports whether all of a gang's tasks that are not done are there under one
+// attempt, on machines that answer each other.
+func (w *World) gangWhole(spec *wire.JobSpec, attempt wire.Attempt) bool {
+	for i := range spec.Tasks {
+		t := wire.TaskID{Job: spec.ID, Index: wire.TaskIndex(i)}
+		if m, ok := w.mates[t]; !w.done[t] && (!ok || m.attempt != attempt || w.hung[m.on]) {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *World) leave(t wire.TaskID) {
+	delete(w.mates, t)
 	delete(w.on, t)
 	delete(w.zoneOf, t)
 }
@@ -131,7 +159,7 @@
 	cause   wire.Cause
 	saved   bool
 	until   time.Time // of the state
-	image   time.Time // when its image is there
+	missing time.Time // since when a gang's task misses one of its mates
 }
 
 // Machine stands in for a worker and its machine.
@@ -177,8 +205,10 @@
 // Hang stops the machine from doing anything, or ends that.
 func (m *Machine) Hang(hung bool) {
 	m.mu.Lock()
-	m.hung = hung
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.World.mu.Lock()
+	defer m.World.mu.Unlock()
+	m.hung, m.World.hung[m.Type.ID] = hung, hung
 }
 
 func (m *Machine) kill() {
@@ -219,9 +249,37 @@
 }
 
 func (m *Machine) step(t wire.TaskID, r *runningTask, now time.Time) {
+	w := m.World
+	spec := w.specs[t.Job]
+	gang := spec != nil && spec.Shape == wire.Gang && spec.Tasks > 1
 	if r.state == wire.TaskFetching && now.After(r.until) {
-		r.state, r.until = wire.TaskRunning, now.Add(m.Run(t))
-		m.World.start(m, t)
+		w.start(m, t)
+		if gang {
+			w.mates[t] = mate{r.attempt, m.Type.ID}
+			r.state, r.until = wire.TaskWaiting, now.Add(gangWait)
+		} else {
+			r.state, r.until = wire.TaskRunning, now.Add(m.Run(t))
+		}
+	}
+	if gang && (r.state == wire.TaskWaiting || r.state == wire.TaskRunning) {
+		whole := w.gangWhole(spec, r.attempt)
+		switch {
+		case r.state == wire.TaskWaiting && whole:
+			r.state, r.until, r.missing = wire.TaskRunning, now.Add(m.Run(wire.TaskID{Job: t.Job})), time.Time{}
+		case r.state == wire.TaskWaiting && now.After(r.until):
+			r.state, r.cause = wire.TaskExited, wire.CauseAlone
+			w.leave(t)
+		case whole || r.state == wire.TaskWaiting:
+			r.missing = time.Time{}
+		case r.missing.IsZero():
+			r.missing = now
+		case now.Sub(r.missing) > gangPeer:
+			r.state, r.cause = wire.TaskExited, wire.CausePeers
+			w.leave(t)
+		}
+		if r.state == wire.TaskRunning && !r.missing.IsZero() {
+			return // nothing completes while the gang is not whole
+		}
 	}
 	if r.state == wire.TaskRunning && now.After(r.until) {
 		r.state, r.cause = wire.TaskExited, wire.CauseDone
@@ -294,3 +352,25 @@
 		}
 	}
 }
+
+// Whole reports whether all of a gang runs, on machines that answer each other.
+func (w *World) Whole(job wire.JobID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m, ok := w.mates[wire.TaskID{Job: job}]
+	return ok && w.gangWhole(w.specs[job], m.attempt)
+}
+
+// On lists the machines that a job's tasks are on.
+func (w *World) On(job wire.JobID) []wire.MachineID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []wire.MachineID
+	for t, m := range w.on {
+		if t.Job == job && !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/topology/health.go
+++ b/internal/topology/health.go
@@ -42,6 +42,7 @@
 	silent time.Duration // after which a machine counts as silent
 	state  map[Block]*standing
 	parted map[Block]map[wire.JobID]time.Time
+	doubt  map[Block]time.Time // since when blocks look as if they had failed
 }
 
 type standing struct {
@@ -56,7 +57,7 @@
 // NewHealth returns a judge to whom all blocks are up. silent is how long a machine that
 // works may leave between two reports, at the most.
 func NewHealth(t *Tree, silent time.Duration) *Health {
-	return &Health{t: t, silent: silent, state: map[Block]*standing{}, parted: map[Block]map[wire.JobID]time.Time{}}
+	return &Health{t: t, silent: silent, state: map[Block]*standing{}, parted: map[Block]map[wire.JobID]time.Time{}, doubt: map[Block]time.Time{}}
 }
 
 // Down reports whether a block, or one that it is in, has failed as far as is known.
@@ -104,8 +105,8 @@
 // before is its own.
 //
 // A block has failed if most of its machines fell silent within about two reports of
-// each other while most other machines are heard; of nested blocks the outermost that
-// this is true of. It is up again once at least half of its machines have been heard for
+// each other while most other machines are heard, and that has been so for a report; of
+// nested blocks the outermost that this is true of. It is up again once at least half of its machines have been heard for
 // a while, which doubles with each fault. Machines that have left say nothing any more.
 func (h *Health) Judge(now, settled time.Time, machines []Heard) []Verdict {
 	tallies := map[Block]*tally{}
@@ -133,11 +134,22 @@
 		}
 		others := all.known - c.known
 		heard := others - (all.silent - c.silent)
-		if c.known >= fewToJudge && float64(c.silent) >= mostSilent*float64(c.known) &&
-			heard >= fewToJudge && float64(heard) >= otherHeard*float64(others) && c.last.Sub(c.first) <= 2*h.silent {
+		if c.known < fewToJudge || float64(c.silent) < mostSilent*float64(c.known) ||
+			heard < fewToJudge || float64(heard) < otherHeard*float64(others) || c.last.Sub(c.first) > 2*h.silent {
+			delete(h.doubt, b)
+			continue
+		}
+		if h.doubt[b].IsZero() {
+			h.doubt[b] = now
+		}
+		// The first of its racks falls silent a report before the last one of a switch.
+		if !h.doubted(h.t.blocks[b].parent) && now.Sub(h.doubt[b]) >= h.silent*3/4 {
 			out = append(out, h.fall(b, now, c, 0))
 		}
 	}
+	if own {
+		clear(h.doubt)
+	}
 	for _, b := range slices.Sorted(maps.Keys(h.state)) {
 		if v, changed := h.recover(b, now, tallies[b], own); changed {
 			out = append(out, v)
@@ -146,6 +158,16 @@
 	return out
 }
 
+// doubted reports whether a block, or one that it is in, looks as if it had failed.
+func (h *Health) doubted(b Block) bool {
+	for ; b != 0; b = h.t.blocks[b].parent {
+		if !h.doubt[b].IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *tally) note(at time.Time, quiet bool) {
 	c.known++
 	if !quiet {
@@ -178,6 +200,7 @@
 	}
 	s.down, s.since, s.back, s.gangs = true, now, time.Time{}, gangs
 	s.falls++
+	delete(h.doubt, b)
 	if gangs > 0 {
 		s.until = now.Add(min(longestBad, partedFor<<min(s.falls-1, 4)))
 		delete(h.parted, b)
