With a topology, what is rented for a gang goes to one zone

Cause: on the stand-ins a gang of four sat in two zones, since rentals take the zones by turns. The zone gives way where nothing is to be had, or only for more money than elsewhere.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -544,8 +544,8 @@
 	v := c.view(now)
 	in := &fleet.Input{Now: now, Flavors: l.flavors, Queue: v.Queue, TeamRoom: c.led.TeamRoom,
 		Spot: c.set.Operators.Spot, Most: c.set.Operators.MostMachines, IdleBoots: c.set.Operators.IdleBoots,
-		Headroom: c.set.Operators.Headroom,
-		Refused:  func(o fleet.Option) bool { return now.Before(l.refused[o]) || now.Before(l.dark[o.Zone]) }}
+		Headroom: c.set.Operators.Headroom, Close: c.places.tree != nil,
+		Refused: func(o fleet.Option) bool { return now.Before(l.refused[o]) || now.Before(l.dark[o.Zone]) }}
 	awaited, overdue := 0, 0
 	for id, u := range l.units {
 		if c.led.Mark(id) != "" {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -70,6 +70,7 @@
 	Most      int // machines at once, 0: no bound
 	IdleBoots float64
 	Headroom  float64
+	Close     bool // a topology is declared: a gang's machines are wanted in one zone
 
 	Looked int // machines looked at: what a plan costs
 }
@@ -168,20 +169,38 @@
 			left -= n
 			filled = filled || full(s)
 		}
-		for _, s := range open {
-			if left == 0 {
-				break
-			}
-			in.Looked++
-			if n := fits(s); n > 0 {
-				use(s, n)
-				if j.Spec.OneZone {
-					zone = s.unit.Zone
+		// The one zone of a gang that is only wanted close gives way where nothing is to
+		// be had, or only for more money than elsewhere.
+		near := in.Close && j.Together() > 1 && !j.Spec.OneZone && !j.Spec.Spread
+		if near {
+			zone = roomiest(open, fits)
+		}
+		taken := map[*slot]bool{}
+		fill := func() {
+			for _, s := range open {
+				if left == 0 {
+					break
+				}
+				in.Looked++
+				if n := fits(s); n > 0 && !taken[s] {
+					use(s, n)
+					taken[s] = near // it is asked again only if the zone gives way
+					if j.Spec.OneZone {
+						zone = s.unit.Zone
+					}
 				}
 			}
 		}
+		fill()
 		for left > 0 && (in.Most == 0 || total < in.Most) {
-			o, ok := cheapest(in, j, zone, perZone)
+			o, price, ok := cheapest(in, j, zone, perZone)
+			if near && zone != "" {
+				if _, elsewhere, found := cheapest(in, j, "", perZone); found && (!ok || elsewhere < price) {
+					near, zone = false, ""
+					fill()
+					continue
+				}
+			}
 			if !ok {
 				break
 			}
@@ -197,7 +216,7 @@
 			hired[o]++
 			perZone[o.Zone]++
 			total++
-			if j.Spec.OneZone {
+			if j.Spec.OneZone || near {
 				zone = o.Zone
 			}
 		}
@@ -235,6 +254,19 @@
 	return plan
 }
 
+// roomiest is the zone whose machines have room for the most of a gang's tasks, "" if
+// there is none.
+func roomiest(open []*slot, fits func(*slot) int) (best wire.Zone) {
+	room := map[wire.Zone]int{}
+	for _, s := range open {
+		z := s.unit.Zone
+		if room[z] += fits(s); room[z] > room[best] || room[z] == room[best] && z < best {
+			best = z
+		}
+	}
+	return best
+}
+
 // least is the least that a task of any job takes, and the time by which a machine
 // rented now would be up.
 func (in *Input) least() (need ledger.Resources, by time.Time) {
@@ -276,11 +308,8 @@
 }
 
 // cheapest chooses what to rent for a job: the lowest price for the room that
-// its tasks get, then the zone with the fewest machines.
-func cheapest(in *Input, j *ledger.Job, zone wire.Zone, perZone map[wire.Zone]int) (Option, bool) {
-	var best Option
-	var bestPrice float64
-	found := false
+// its tasks get, which it tells, then the zone with the fewest machines.
+func cheapest(in *Input, j *ledger.Job, zone wire.Zone, perZone map[wire.Zone]int) (best Option, bestPrice float64, found bool) {
 	for _, f := range in.Flavors {
 		room := ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB).Times(j.Need, j.Spec.Tasks)
 		if room == 0 {
@@ -302,5 +331,5 @@
 			}
 		}
 	}
-	return best, found
+	return best, bestPrice, found
 }
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -100,3 +100,37 @@
 		t.Errorf("a machine that pending work fits on: %+v", p)
 	}
 }
+
+// TestRentingForAGangKeepsItsZone: where closeness matters, what is rented for a gang goes to
+// one zone, that of the machines with room for it; not at a higher price, and not if it can't
+// be had there. Without a topology the zones take turns, as they did.
+func TestRentingForAGangKeepsItsZone(t *testing.T) {
+	full := ledger.NewResources(8, 4, 64)
+	there := []Unit{{ID: "h", Type: "g", Zone: "b", Usable: true, Total: full}}
+	for _, tc := range []struct {
+		name    string
+		close   bool
+		units   []Unit
+		refused func(Option) bool
+		a, b    int
+	}{
+		{"no topology", false, nil, nil, 2, 2},
+		{"none there", true, nil, nil, 4, 0},
+		{"one has room", true, there, nil, 0, 3},
+		{"cheap ones only elsewhere", true, there, func(o Option) bool { return o.Spot && o.Zone == "b" }, 3, 0},
+		{"none to be had there", true, there, func(o Option) bool { return o.Zone == "b" }, 3, 0},
+	} {
+		in := input(t, wire.JobSpec{Shape: wire.Gang, Tasks: 16, GPUs: 1, Spot: true})
+		in.Close, in.Units = tc.close, tc.units
+		if tc.refused != nil {
+			in.Refused = tc.refused
+		}
+		got := map[wire.Zone]int{}
+		for _, h := range Make(in).Hire {
+			got[h.Zone] += h.Count
+		}
+		if got["a"] != tc.a || got["b"] != tc.b {
+			t.Errorf("%s: %v, want %d in a and %d in b", tc.name, got, tc.a, tc.b)
+		}
+	}
+}
