--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -184,7 +184,7 @@
 				in.Looked++
 				if n := fits(s); n > 0 && !taken[s] {
 					use(s, n)
-					taken[s] = near // it is asked again only if the zone gives way
+					taken[s] = true
 					if j.Spec.OneZone {
 						zone = s.unit.Zone
 					}
