--- /dev/null
+++ b/internal/cwl/cases_test.go
@@ -0,0 +1,341 @@
+package cwl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.yaml.in/yaml/v4"
+)
+
+// suite is a file of cases made from the standard's text; see testdata/README.md.
+type suite struct {
+	Expressions []struct {
+		Name, Text string
+		JS         bool
+		Lib        []string
+		Inputs     map[string]any
+		Self       any
+		Want       any
+		Error      string
+	}
+	Documents []struct {
+		Name   string
+		Doc    string
+		Bundle map[string]string
+		Entry  string
+		Errors []string // each a part of a problem's line, in order
+		Warn   []string
+	}
+	Commands []struct {
+		Name   string
+		Doc    string
+		Inputs string
+		Args   []string
+		Stdin  string
+		Stdout string
+		Env    map[string]string
+		Files  map[string]string
+		Needs  []float64 // cores, MiB, accelerators
+		Error  string
+	}
+	Outputs []struct {
+		Name   string
+		Doc    string
+		Inputs string
+		Files  map[string]string
+		Want   any
+		Error  string
+	}
+	Runs []struct {
+		Name   string
+		Doc    string
+		Bundle map[string]string
+		Entry  string
+		Inputs string
+		Want   any
+		States string // "a done, b failed"
+		Error  string
+		Tasks  int // tools that ran, 0: not looked at
+	}
+}
+
+func suitesOf(t testing.TB) map[string]suite {
+	files, err := filepath.Glob("testdata/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no cases", err)
+	}
+	out := map[string]suite{}
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var s suite
+		d := yaml.NewDecoder(strings.NewReader(string(b)))
+		d.KnownFields(true)
+		if err := d.Decode(&s); err != nil {
+			t.Fatalf("%s: %v", f, err)
+		}
+		out[f] = s
+	}
+	return out
+}
+
+// normal is a value as JSON would have it, for comparing.
+func normal(v any) any {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	out, _ := fromJSON(b)
+	return out
+}
+
+// judge compares a result with what a case wants.
+func judge(t *testing.T, got any, err error, want any, wantErr string) {
+	t.Helper()
+	switch {
+	case wantErr != "":
+		if err == nil || !strings.Contains(err.Error(), wantErr) {
+			t.Errorf("got %v, error %v; want an error with %q", got, err, wantErr)
+		}
+	case err != nil:
+		t.Error(err)
+	case !reflect.DeepEqual(normal(got), normal(want)):
+		t.Errorf("got %s, want %s", jsonText(got), jsonText(want))
+	}
+}
+
+// memDir is a working directory in memory.
+type memDir map[string]string
+
+func (d memDir) value(name string) map[string]any {
+	return map[string]any{"class": "File", "path": name, "basename": path.Base(name), "size": int64(len(d[name]))}
+}
+
+func (d memDir) Glob(pattern string) ([]map[string]any, error) {
+	var out []map[string]any
+	for _, name := range slices.Sorted(maps.Keys(d)) {
+		ok, err := path.Match(pattern, name)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			out = append(out, d.value(name))
+		}
+	}
+	return out, nil
+}
+
+func (d memDir) Read(name string, most int) ([]byte, error) {
+	text, ok := d[name]
+	if !ok {
+		return nil, fmt.Errorf("there is no %q", name)
+	}
+	return []byte(text[:min(most, len(text))]), nil
+}
+
+func (d memDir) Stat(name string) (map[string]any, error) {
+	if _, ok := d[name]; !ok {
+		return nil, nil
+	}
+	return d.value(name), nil
+}
+
+// pretend runs a tool as cases have them: echo writes its arguments to its standard output,
+// touch makes empty files, exit ends with a code.
+func pretend(ctx context.Context, task Task) (map[string]any, error) {
+	cmd, err := task.Tool.Command(ctx, task.Inputs, map[string]any{"cores": int64(1)})
+	if err != nil {
+		return nil, err
+	}
+	dir, code := memDir{}, 0
+	switch cmd.Args[0] {
+	case "echo":
+		dir[cmd.Stdout] = strings.Join(cmd.Args[1:], " ") + "\n"
+	case "touch":
+		for _, f := range cmd.Args[1:] {
+			dir[f] = ""
+		}
+	case "exit":
+		fmt.Sscan(cmd.Args[1], &code)
+	}
+	if err := task.Tool.Tool.Exit(code); err != nil {
+		return nil, err
+	}
+	return task.Tool.Collect(ctx, task.Inputs, cmd, dir, nil)
+}
+
+func load(doc string, bundle map[string]string, entry string) (*Process, Problems, error) {
+	b := Bundle{}
+	for name, text := range bundle {
+		b[name] = []byte(text)
+	}
+	if doc != "" {
+		b["main.cwl"] = []byte(doc)
+	}
+	if entry == "" {
+		entry = "main.cwl"
+	}
+	return Load(b, entry)
+}
+
+func TestCases(t *testing.T) {
+	count := 0
+	for file, s := range suitesOf(t) {
+		base := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		run := func(name string, f func(t *testing.T)) {
+			count++
+			t.Run(base+"/"+name, f)
+		}
+		for _, c := range s.Expressions {
+			run(c.Name, func(t *testing.T) {
+				var n Needs
+				if c.JS || c.Lib != nil {
+					n.JavaScript = &JavaScript{Lib: c.Lib}
+				}
+				inputs, _ := normal(c.Inputs).(map[string]any)
+				got, err := n.Eval(t.Context(), c.Text, Scope{Inputs: inputs, Self: normal(c.Self), Runtime: map[string]any{"cores": int64(4)}})
+				judge(t, got, err, c.Want, c.Error)
+			})
+		}
+		for _, c := range s.Documents {
+			run(c.Name, func(t *testing.T) {
+				_, warnings, err := load(c.Doc, c.Bundle, c.Entry)
+				var problems Problems
+				if errors.As(err, &problems); len(problems) != len(c.Errors) {
+					t.Fatalf("%d problems, want %d: %v", len(problems), len(c.Errors), err)
+				}
+				for i, want := range c.Errors {
+					if got := problems[i].String(); !strings.Contains(got, want) {
+						t.Errorf("problem %q, want %q in it", got, want)
+					}
+				}
+				if len(warnings) != len(c.Warn) || len(c.Warn) > 0 && !strings.Contains(warnings.Error(), c.Warn[0]) {
+					t.Errorf("warnings %v, want %v", warnings, c.Warn)
+				}
+			})
+		}
+		for _, c := range s.Commands {
+			run(c.Name, func(t *testing.T) {
+				got, err := command(t.Context(), c.Doc, c.Inputs)
+				if c.Error != "" || err != nil {
+					judge(t, got, err, nil, c.Error)
+					return
+				}
+				judge(t, got.Args, nil, c.Args, "")
+				if got.Stdin != c.Stdin || c.Stdout != "" && got.Stdout != c.Stdout || c.Env != nil && !maps.Equal(got.Env, c.Env) {
+					t.Errorf("stdin %q, stdout %q, environment %v", got.Stdin, got.Stdout, got.Env)
+				}
+				for _, f := range got.Files {
+					if want, ok := c.Files[f.Name]; !ok || f.From == nil && f.Contents != want {
+						t.Errorf("working directory has %q: %q", f.Name, f.Contents)
+					}
+				}
+				if len(got.Files) != len(c.Files) {
+					t.Errorf("working directory has %v", got.Files)
+				}
+				if c.Needs != nil && !slices.Equal(c.Needs, []float64{got.Cores, got.RAM, got.Accelerators}) {
+					t.Errorf("needs %g cores, %g MiB, %g accelerators", got.Cores, got.RAM, got.Accelerators)
+				}
+			})
+		}
+		for _, c := range s.Outputs {
+			run(c.Name, func(t *testing.T) {
+				p, _, err := load(c.Doc, nil, "")
+				if err != nil {
+					t.Fatal(err)
+				}
+				in, err := p.ReadInputs("in.yml", []byte(cmp.Or(c.Inputs, "{}")))
+				if err != nil {
+					t.Fatal(err)
+				}
+				cmd, err := p.Command(t.Context(), in, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := p.Collect(t.Context(), in, cmd, memDir(c.Files), nil)
+				judge(t, got, err, c.Want, c.Error)
+			})
+		}
+		for _, c := range s.Runs {
+			run(c.Name, func(t *testing.T) {
+				p, _, err := load(c.Doc, c.Bundle, c.Entry)
+				if err != nil {
+					t.Fatal(err)
+				}
+				in := map[string]any{}
+				if c.Inputs != "" {
+					if in, err = p.ReadInputs("in.yml", []byte(c.Inputs)); err != nil {
+						judge(t, nil, err, nil, c.Error)
+						return
+					}
+				}
+				r, err := Start(t.Context(), p, in)
+				if err != nil {
+					judge(t, nil, err, nil, c.Error)
+					return
+				}
+				tasks := 0
+				for work := r.Ready(3); len(work) > 0; work = r.Ready(3) {
+					for _, task := range work {
+						tasks++
+						out, err := pretend(t.Context(), task)
+						r.Finish(task.ID, out, err)
+						r.Finish(task.ID, nil, errors.New("told twice")) // changes nothing
+					}
+				}
+				out, err, over := r.Over()
+				if !over {
+					t.Fatal("nothing is ready and it isn't over")
+				}
+				if c.States != "" {
+					var states []string
+					r.Steps(func(id string, state StepState, _, _ int) { states = append(states, id+" "+string(state)) })
+					if got := strings.Join(states, ", "); got != c.States {
+						t.Errorf("steps: %s; want %s", got, c.States)
+					}
+				}
+				if c.Tasks > 0 && tasks != c.Tasks {
+					t.Errorf("%d tools ran, want %d", tasks, c.Tasks)
+				}
+				if err != nil && c.Error != "" {
+					for _, f := range r.Failures() {
+						err = errors.Join(err, fmt.Errorf("%s: %w", f.ID, f.Err))
+					}
+					judge(t, nil, err, nil, c.Error)
+					err = nil
+				}
+				judge(t, out, err, c.Want, "")
+			})
+		}
+	}
+	t.Logf("%d cases", count)
+}
+
+func command(ctx context.Context, doc, inputs string) (*Command, error) {
+	p, _, err := load(doc, nil, "")
+	if err != nil {
+		return nil, err
+	}
+	in, err := p.ReadInputs("in.yml", []byte(cmp.Or(inputs, "{}")))
+	if err != nil {
+		return nil, err
+	}
+	full, err := p.Complete(in)
+	if err != nil {
+		return nil, err
+	}
+	return p.Command(ctx, full, map[string]any{"cores": int64(2), "outdir": "/out"})
+}
--- /dev/null
+++ b/internal/cwl/engine.go
@@ -0,0 +1,511 @@
+package cwl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Run is the progress of one process: which tools are ready to run with which inputs, and
+// what has come of them. It runs nothing and keeps nothing durable; told the same results
+// in any order it comes to the same outputs. It is not safe for concurrent use.
+type Run struct {
+	// Contents reads a file's first bytes, for loadContents in steps; nil: that fails.
+	Contents func(file map[string]any) (string, error)
+
+	ctx     context.Context
+	top     *scope
+	open    []*stepRun          // with elements still to be handed out
+	out     map[string]*element // handed out, by id
+	outputs map[string]any
+	err     error // why the run as a whole failed
+	over    bool
+	failed  []Failure
+}
+
+// Failure is a step that failed.
+type Failure struct {
+	ID  string
+	Err error
+}
+
+// Task is one run of a command line tool.
+type Task struct {
+	ID     string // "read", "check[3]", "sub/pay": the same in every run with the same inputs
+	Tool   *Process
+	Inputs map[string]any // complete
+}
+
+// StepState is how far a step has come.
+type StepState string
+
+// The states of steps.
+const (
+	StepWaiting StepState = "waiting" // for what it depends on
+	StepRunning StepState = "running"
+	StepDone    StepState = "done"
+	StepSkipped StepState = "skipped" // its condition was false
+	StepFailed  StepState = "failed"
+	StepDropped StepState = "dropped" // what it depends on failed
+)
+
+// scope is a workflow under way.
+type scope struct {
+	id     string
+	p      *Process
+	inputs map[string]any
+	steps  map[string]*stepRun
+	left   int
+	bad    bool
+	up     *element // the step that it is, nil for the whole
+}
+
+// stepRun is a step under way, with one element or, scattered, any number.
+type stepRun struct {
+	in       *scope
+	s        *Step
+	state    StepState
+	links    map[string]any // inputs before scattering
+	lengths  []int          // of what is scattered over
+	next     int            // the first element not yet handed out
+	total    int
+	left     int
+	elements []*element
+	skipped  int
+}
+
+type element struct {
+	step    *stepRun
+	index   int
+	id      string
+	outputs map[string]any
+	err     error
+	over    bool
+}
+
+// Start begins a run. inputs are as ReadInputs gives them.
+func Start(ctx context.Context, p *Process, inputs map[string]any) (*Run, error) {
+	full, err := p.Complete(inputs)
+	if err != nil {
+		return nil, err
+	}
+	r := &Run{ctx: ctx, out: map[string]*element{}}
+	if p.Class != "Workflow" {
+		// A tool by itself is a workflow of one step.
+		s := &Step{ID: "main", Run: p}
+		w := &Process{Class: "Workflow", Inputs: p.Inputs, Steps: []*Step{s}}
+		for _, in := range p.Inputs {
+			s.In = append(s.In, StepInput{ID: in.ID, Source: []string{in.ID}})
+		}
+		for _, o := range p.Outputs {
+			s.Out = append(s.Out, o.ID)
+			w.Outputs = append(w.Outputs, Parameter{ID: o.ID, Type: o.Type, Source: []string{"main/" + o.ID}})
+		}
+		p = w
+	}
+	r.top = r.enter(p, "", full, nil)
+	return r, nil
+}
+
+func (r *Run) enter(p *Process, id string, inputs map[string]any, up *element) *scope {
+	c := &scope{id: id, p: p, inputs: inputs, steps: map[string]*stepRun{}, left: len(p.Steps), up: up}
+	for _, s := range p.Steps {
+		c.steps[s.ID] = &stepRun{in: c, s: s, state: StepWaiting}
+	}
+	r.advance(c)
+	return c
+}
+
+// advance starts the steps of a workflow whose sources are there, and ends the workflow
+// once all are over.
+func (r *Run) advance(c *scope) {
+	for again := true; again; {
+		again = false
+		for _, s := range c.p.Steps {
+			st := c.steps[s.ID]
+			if st.state != StepWaiting {
+				continue
+			}
+			switch ready, dropped := c.ready(s); {
+			case dropped:
+				st.state = StepDropped
+				c.left--
+				again = true
+			case ready:
+				r.begin(st)
+				again = true
+			}
+		}
+	}
+	if c.left == 0 {
+		c.left = -1
+		r.leave(c)
+	}
+}
+
+// ready reports whether all that a step depends on is over, or can't be had any more.
+func (c *scope) ready(s *Step) (ready, dropped bool) {
+	ready = true
+	for _, in := range s.In {
+		for _, src := range in.Source {
+			id, _, ok := strings.Cut(src, "/")
+			if !ok {
+				continue
+			}
+			switch c.steps[id].state {
+			case StepFailed, StepDropped:
+				return false, true
+			case StepDone, StepSkipped:
+			default:
+				ready = false
+			}
+		}
+	}
+	return ready, false
+}
+
+func (c *scope) source(src string) any {
+	id, out, ok := strings.Cut(src, "/")
+	if !ok {
+		return c.inputs[src]
+	}
+	return c.steps[id].output(out)
+}
+
+// link is what comes over the links to an input ("WorkflowStepInput").
+func (c *scope) link(sources []string, merge, pick string) (any, error) {
+	if len(sources) == 0 {
+		return nil, nil
+	}
+	var v any
+	if len(sources) == 1 && merge != MergeNested {
+		v = c.source(sources[0])
+	} else {
+		list := []any{}
+		for _, src := range sources {
+			x := c.source(src)
+			if inner, ok := x.([]any); ok && merge == MergeFlattened {
+				list = append(list, inner...)
+			} else {
+				list = append(list, x)
+			}
+		}
+		v = list
+	}
+	if pick == "" {
+		return v, nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		return nil, fmt.Errorf("pickValue needs a list, found %s", describe(v))
+	}
+	full := slices.DeleteFunc(slices.Clone(list), func(x any) bool { return x == nil })
+	switch {
+	case pick == PickAll:
+		return full, nil
+	case len(full) == 0:
+		return nil, fmt.Errorf("pickValue: %s: all are null", pick)
+	case pick == PickOnly && len(full) > 1:
+		return nil, fmt.Errorf("pickValue: %s: %d are not null", pick, len(full))
+	}
+	return full[0], nil
+}
+
+// begin works out what a step's elements are.
+func (r *Run) begin(st *stepRun) {
+	st.state, st.links, st.total = StepRunning, map[string]any{}, 1
+	for i := range st.s.In {
+		in := &st.s.In[i]
+		v, err := st.in.link(in.Source, in.LinkMerge, in.PickValue)
+		if err != nil {
+			r.fail(st, fmt.Errorf("%s: %w", in.ID, err))
+			return
+		}
+		if v == nil {
+			v = in.Default
+		}
+		if f, ok := v.(map[string]any); ok && in.LoadContents && classOf(v) == "File" {
+			if v, err = r.load(f); err != nil {
+				r.fail(st, fmt.Errorf("%s: %w", in.ID, err))
+				return
+			}
+		}
+		st.links[in.ID] = v
+	}
+	for _, name := range st.s.Scatter {
+		list, ok := st.links[name].([]any)
+		if !ok {
+			r.fail(st, fmt.Errorf("%s: scattered over %s; expected a list", name, describe(st.links[name])))
+			return
+		}
+		st.lengths = append(st.lengths, len(list))
+	}
+	if len(st.lengths) > 0 {
+		st.total = st.lengths[0]
+		for _, n := range st.lengths[1:] {
+			if st.s.Method == DotProduct && n != st.total {
+				r.fail(st, fmt.Errorf("scattered over lists of %v elements; a dotproduct takes lists of one length", st.lengths))
+				return
+			}
+			if st.s.Method != DotProduct {
+				st.total *= n
+			}
+		}
+	}
+	st.left = st.total
+	if st.total == 0 {
+		st.state = StepDone
+		st.in.left--
+		return
+	}
+	st.elements = make([]*element, st.total)
+	r.open = append(r.open, st)
+}
+
+func (r *Run) load(f map[string]any) (any, error) {
+	if r.Contents == nil {
+		return nil, errors.New("loadContents: files can't be read here")
+	}
+	text, err := r.Contents(f)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]any, len(f)+1)
+	for k, v := range f {
+		out[k] = v
+	}
+	out["contents"] = text
+	return out, nil
+}
+
+// fail ends a step that could not begin.
+func (r *Run) fail(st *stepRun, err error) {
+	st.state = StepFailed
+	st.in.left--
+	st.in.bad = true
+	r.failed = append(r.failed, Failure{st.id(), err})
+}
+
+func (st *stepRun) id() string {
+	if st.in.id == "" {
+		return st.s.ID
+	}
+	return st.in.id + "/" + st.s.ID
+}
+
+// indices are an element's places in the lists that a step is scattered over.
+func (st *stepRun) indices(i int) []int {
+	out := make([]int, len(st.lengths))
+	for k := len(st.lengths) - 1; k >= 0; k-- {
+		if st.s.Method == NestedCrossProduct || st.s.Method == FlatCrossProduct {
+			out[k] = i % st.lengths[k]
+			i /= st.lengths[k]
+		} else {
+			out[k] = i
+		}
+	}
+	return out
+}
+
+// Ready hands out up to most tasks whose inputs are there, the earlier steps' first.
+// Expression tools, conditions and workflows within are taken care of on the way.
+func (r *Run) Ready(most int) []Task {
+	var out []Task
+	for len(out) < most && len(r.open) > 0 {
+		st := r.open[0]
+		if st.next == st.total {
+			r.open = r.open[1:]
+			continue
+		}
+		e := &element{step: st, index: st.next, id: st.id()}
+		if len(st.lengths) > 0 {
+			e.id = fmt.Sprintf("%s[%d]", e.id, st.next)
+		}
+		st.elements[st.next] = e
+		st.next++
+		inputs, run, err := r.inputsOf(e)
+		switch {
+		case err != nil:
+			r.finish(e, nil, err)
+		case !run:
+			e.step.skipped++
+			r.finish(e, map[string]any{}, nil)
+		case st.s.Run.Class == "Workflow":
+			r.enter(st.s.Run, e.id, inputs, e)
+		case st.s.Run.Class == "ExpressionTool":
+			v, err := r.expression(st.s.Run, inputs)
+			r.finish(e, v, err)
+		default:
+			r.out[e.id] = e
+			out = append(out, Task{e.id, st.s.Run, inputs})
+		}
+	}
+	return out
+}
+
+// inputsOf are an element's inputs, after scattering and valueFrom, and whether its
+// condition lets it run ("when").
+func (r *Run) inputsOf(e *element) (map[string]any, bool, error) {
+	st := e.step
+	values := make(map[string]any, len(st.links))
+	for k, v := range st.links {
+		values[k] = v
+	}
+	for k, i := range st.indices(e.index) {
+		values[st.s.Scatter[k]] = st.links[st.s.Scatter[k]].([]any)[i]
+	}
+	before := Scope{Inputs: make(map[string]any, len(values))}
+	for k, v := range values {
+		before.Inputs[k] = v
+	}
+	for i := range st.s.In {
+		in := &st.s.In[i]
+		if in.ValueFrom == "" {
+			continue
+		}
+		before.Self = before.Inputs[in.ID]
+		v, err := st.s.Needs.Eval(r.ctx, in.ValueFrom, before)
+		if err != nil {
+			return nil, false, fmt.Errorf("%s: %w", in.ID, err)
+		}
+		values[in.ID] = v
+	}
+	if st.s.When != "" {
+		v, err := st.s.Needs.Eval(r.ctx, st.s.When, Scope{Inputs: values})
+		if err != nil {
+			return nil, false, fmt.Errorf("when: %w", err)
+		}
+		yes, ok := v.(bool)
+		if !ok {
+			return nil, false, fmt.Errorf("when: expected true or false, found %s", describe(v))
+		}
+		if !yes {
+			return nil, false, nil
+		}
+	}
+	full, err := st.s.Run.Complete(values)
+	return full, true, err
+}
+
+func (r *Run) expression(p *Process, inputs map[string]any) (map[string]any, error) {
+	v, err := p.Needs.Eval(r.ctx, p.Expression, Scope{Inputs: inputs})
+	if err != nil {
+		return nil, err
+	}
+	m, ok := v.(map[string]any)
+	if !ok {
+		return nil, fmt.Errorf("expression: expected outputs by name, found %s", describe(v))
+	}
+	out := map[string]any{}
+	for _, o := range p.Outputs {
+		out[o.ID] = m[o.ID]
+	}
+	return out, p.checkOutputs(out)
+}
+
+// Finish tells what came of a task: its outputs, or why it failed for good. Telling it of
+// a task that is not out, or again, changes nothing.
+func (r *Run) Finish(id string, outputs map[string]any, err error) {
+	if e := r.out[id]; e != nil {
+		delete(r.out, id)
+		r.finish(e, outputs, err)
+	}
+}
+
+func (r *Run) finish(e *element, outputs map[string]any, err error) {
+	st := e.step
+	e.outputs, e.err, e.over = outputs, err, true
+	st.left--
+	if err != nil {
+		r.failed = append(r.failed, Failure{e.id, err})
+	}
+	if st.left > 0 {
+		return
+	}
+	st.state = StepDone
+	if slices.ContainsFunc(st.elements, func(e *element) bool { return e.err != nil }) {
+		st.state, st.in.bad = StepFailed, true
+	} else if len(st.lengths) == 0 && st.skipped > 0 {
+		st.state = StepSkipped
+	}
+	st.in.left--
+	r.advance(st.in)
+}
+
+// output is what a step that is over gives: of a scattered one lists, nested as its method
+// says; null where its condition was false.
+func (st *stepRun) output(name string) any {
+	if len(st.lengths) == 0 && len(st.s.Scatter) == 0 {
+		return st.elements[0].outputs[name]
+	}
+	flat := make([]any, st.total)
+	for i, e := range st.elements {
+		flat[i] = e.outputs[name]
+	}
+	if st.s.Method != NestedCrossProduct {
+		return flat
+	}
+	return nest(flat, st.lengths)
+}
+
+func nest(flat []any, lengths []int) []any {
+	if len(lengths) == 1 {
+		return flat
+	}
+	out := make([]any, lengths[0])
+	size := len(flat) / max(1, lengths[0])
+	for i := range out {
+		out[i] = nest(flat[i*size:(i+1)*size], lengths[1:])
+	}
+	return out
+}
+
+// leave ends a workflow: the whole, or a step's.
+func (r *Run) leave(c *scope) {
+	out, errs := map[string]any{}, []error(nil)
+	for i := range c.p.Outputs {
+		o := &c.p.Outputs[i]
+		if slices.ContainsFunc(o.Source, func(src string) bool {
+			id, _, ok := strings.Cut(src, "/")
+			return ok && (c.steps[id].state == StepFailed || c.steps[id].state == StepDropped)
+		}) {
+			continue // what there is is kept, this is not
+		}
+		v, err := c.link(o.Source, o.LinkMerge, o.PickValue)
+		if err == nil {
+			err = o.Type.Check(v)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("output %s: %w", o.ID, err))
+			continue
+		}
+		out[o.ID] = v
+	}
+	err := errors.Join(errs...)
+	if err == nil && c.bad {
+		err = errors.New("a step of it failed")
+	}
+	if c.up != nil {
+		r.finish(c.up, out, err)
+		return
+	}
+	r.outputs, r.err, r.over = out, err, true
+}
+
+// Over reports whether nothing is left to run, with the outputs that there are and, unless
+// all went well, an error.
+func (r *Run) Over() (outputs map[string]any, err error, over bool) { return r.outputs, r.err, r.over }
+
+// Failures lists what failed so far.
+func (r *Run) Failures() []Failure { return r.failed }
+
+// Steps calls f for each step of the whole, in the document's order, with its state, how
+// many of its elements are over, and how many there are.
+func (r *Run) Steps(f func(id string, state StepState, over, total int)) {
+	for _, s := range r.top.p.Steps {
+		st := r.top.steps[s.ID]
+		f(s.ID, st.state, st.total-st.left, st.total)
+	}
+}
--- /dev/null
+++ b/internal/cwl/expr.go
@@ -0,0 +1,492 @@
+package cwl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"runtime/metrics"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dop251/goja"
+)
+
+// Scope is what expressions see ("Runtime environment", "Expressions").
+type Scope struct {
+	Inputs  map[string]any
+	Self    any
+	Runtime map[string]any
+}
+
+// Bounds of one evaluation. Memory is what the process's heap grows by meanwhile, looked at
+// every few milliseconds: it stops what runs away, and is no exact account.
+const (
+	exprTime   = 2 * time.Second
+	exprMemory = 64 << 20
+	exprStack  = 512
+	exprResult = 1 << 20 // bytes, as JSON
+)
+
+// Errors of expressions.
+var (
+	ErrExprTime   = errors.New("the expression takes too long")
+	ErrExprMemory = errors.New("the expression takes too much memory")
+	ErrExprSize   = errors.New("the expression's result is too large")
+)
+
+// piece is a part of a text: as it stands, or an expression.
+type piece struct {
+	text string
+	expr string // with its brackets
+	body bool   // "${...}"
+}
+
+// split finds the expressions in a text. A backslash before "$(" or "${" keeps them as
+// they are, and one before a backslash before them is a backslash ("Parameter references").
+func split(s string) ([]piece, error) {
+	var out []piece
+	var lit strings.Builder
+	for i := 0; i < len(s); {
+		rest := s[i:]
+		switch {
+		case strings.HasPrefix(rest, `\\`):
+			lit.WriteByte('\\')
+			i += 2
+		case strings.HasPrefix(rest, `\$(`) || strings.HasPrefix(rest, `\${`):
+			lit.WriteString(rest[1:3])
+			i += 3
+		case strings.HasPrefix(rest, "$(") || strings.HasPrefix(rest, "${"):
+			n, err := closing(rest[1:])
+			if err != nil {
+				return nil, err
+			}
+			if lit.Len() > 0 {
+				out = append(out, piece{text: lit.String()})
+				lit.Reset()
+			}
+			out = append(out, piece{expr: rest[1 : 1+n], body: rest[1] == '{'})
+			i += 1 + n
+		default:
+			lit.WriteByte(s[i])
+			i++
+		}
+	}
+	if lit.Len() > 0 {
+		out = append(out, piece{text: lit.String()})
+	}
+	return out, nil
+}
+
+// closing is the length of a bracketed part: strings, comments and inner brackets are
+// passed over.
+func closing(s string) (int, error) {
+	var open []byte
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; c {
+		case '(', '[', '{':
+			open = append(open, c)
+		case ')', ']', '}':
+			want := map[byte]byte{')': '(', ']': '[', '}': '{'}[c]
+			if len(open) == 0 || open[len(open)-1] != want {
+				return 0, fmt.Errorf("the brackets of the expression %q don't match", shorten(s))
+			}
+			if open = open[:len(open)-1]; len(open) == 0 {
+				return i + 1, nil
+			}
+		case '\'', '"', '`':
+			for i++; i < len(s) && s[i] != c; i++ {
+				if s[i] == '\\' {
+					i++
+				}
+			}
+		case '/':
+			if strings.HasPrefix(s[i:], "//") {
+				for i < len(s) && s[i] != '\n' {
+					i++
+				}
+			} else if strings.HasPrefix(s[i:], "/*") {
+				end := strings.Index(s[i+2:], "*/")
+				if end < 0 {
+					return 0, fmt.Errorf("a comment in the expression %q does not end", shorten(s))
+				}
+				i += end + 3
+			}
+		}
+	}
+	return 0, fmt.Errorf("the expression %q does not end", shorten(s))
+}
+
+// HasExpression reports whether a text has expressions in it.
+func HasExpression(s string) bool { return strings.Contains(s, "$(") || strings.Contains(s, "${") }
+
+// Syntax checks the expressions in a text without evaluating them.
+func Syntax(s string, javascript bool) error {
+	if !HasExpression(s) {
+		return nil
+	}
+	pieces, err := split(s)
+	if err != nil {
+		return err
+	}
+	for _, p := range pieces {
+		switch {
+		case p.expr == "":
+		case javascript:
+			if _, err := goja.Compile("", program(p), true); err != nil {
+				return fmt.Errorf("%q is not JavaScript: %v", shorten(p.expr), err)
+			}
+		case p.body:
+			return fmt.Errorf("%q uses JavaScript without InlineJavascriptRequirement", shorten(p.expr))
+		default:
+			if _, err := parseReference(p.expr); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func program(p piece) string {
+	if p.body {
+		return "(function()" + p.expr + ")()"
+	}
+	return p.expr
+}
+
+// Eval evaluates the expressions in a text. A text that is one expression has its value;
+// one with others around it is a string, with values in it as JSON where they are no
+// strings. Without expressions it is the text.
+func (n *Needs) Eval(ctx context.Context, s string, sc Scope) (any, error) {
+	if !HasExpression(s) {
+		return s, nil
+	}
+	pieces, err := split(s)
+	if err != nil {
+		return nil, err
+	}
+	if trimmed := strings.TrimSpace(s); len(pieces) > 1 && trimmed != s {
+		if alone, err := split(trimmed); err == nil && len(alone) == 1 && alone[0].expr != "" {
+			pieces = alone // white space around one expression does not make it a string
+		}
+	}
+	if len(pieces) == 1 && pieces[0].expr != "" {
+		return n.evalOne(ctx, pieces[0], sc)
+	}
+	var b strings.Builder
+	for _, p := range pieces {
+		if p.expr == "" {
+			b.WriteString(p.text)
+			continue
+		}
+		v, err := n.evalOne(ctx, p, sc)
+		if err != nil {
+			return nil, err
+		}
+		if text, ok := v.(string); ok {
+			b.WriteString(text)
+			continue
+		}
+		j, err := json.Marshal(v)
+		if err != nil {
+			return nil, err
+		}
+		b.Write(j)
+	}
+	return b.String(), nil
+}
+
+// EvalText evaluates a text that must become a string.
+func (n *Needs) EvalText(ctx context.Context, s string, sc Scope) (string, error) {
+	v, err := n.Eval(ctx, s, sc)
+	if err != nil {
+		return "", err
+	}
+	text, ok := v.(string)
+	if !ok {
+		return "", fmt.Errorf("%q: expected a string, found %s", shorten(s), describe(v))
+	}
+	return text, nil
+}
+
+// EvalNumber evaluates a text that must become a number; otherwise is for an empty one.
+func (n *Needs) EvalNumber(ctx context.Context, s string, sc Scope, otherwise float64) (float64, error) {
+	if s == "" {
+		return otherwise, nil
+	}
+	v, err := n.Eval(ctx, s, sc)
+	if err != nil {
+		return 0, err
+	}
+	switch x := v.(type) {
+	case int64:
+		return float64(x), nil
+	case float64:
+		return x, nil
+	case string:
+		if f, err := strconv.ParseFloat(x, 64); err == nil && !math.IsInf(f, 0) && !math.IsNaN(f) {
+			return f, nil
+		}
+	case nil:
+		return otherwise, nil
+	}
+	return 0, fmt.Errorf("%q: expected a number, found %s", shorten(s), describe(v))
+}
+
+func (n *Needs) evalOne(ctx context.Context, p piece, sc Scope) (any, error) {
+	if !p.body {
+		if path, err := parseReference(p.expr); err == nil {
+			v, err := path.follow(sc)
+			if err == nil || n.JavaScript == nil {
+				return v, err
+			}
+		} else if n.JavaScript == nil {
+			return nil, err
+		}
+	}
+	if n.JavaScript == nil {
+		return nil, fmt.Errorf("%q uses JavaScript without InlineJavascriptRequirement", shorten(p.expr))
+	}
+	return n.JavaScript.run(ctx, p, sc)
+}
+
+// reference is a parameter reference: a root and what is selected in it.
+type reference struct {
+	text string
+	root string
+	path []any // string: a field, int: an index
+}
+
+// parseReference reads "(inputs.reads[0]['left file'].size)" ("Parameter references").
+func parseReference(expr string) (*reference, error) {
+	s := strings.TrimSpace(strings.TrimSuffix(strings.TrimPrefix(expr, "("), ")"))
+	bad := fmt.Errorf("%q is not a parameter reference, and there is no InlineJavascriptRequirement", shorten("$"+expr))
+	ident := func() string {
+		i := 0
+		for i < len(s) && (s[i] == '_' || s[i] >= 'a' && s[i] <= 'z' || s[i] >= 'A' && s[i] <= 'Z' || s[i] >= '0' && s[i] <= '9' || s[i] >= 0x80) {
+			i++
+		}
+		id := s[:i]
+		s = s[i:]
+		return id
+	}
+	r := &reference{text: expr, root: ident()}
+	switch r.root {
+	case "inputs", "self", "runtime", "null":
+	default:
+		return nil, bad
+	}
+	for s != "" {
+		switch {
+		case s[0] == '.':
+			s = s[1:]
+			id := ident()
+			if id == "" {
+				return nil, bad
+			}
+			r.path = append(r.path, id)
+		case len(s) > 1 && s[0] == '[' && (s[1] == '\'' || s[1] == '"'):
+			quote := s[1]
+			var b strings.Builder
+			i := 2
+			for ; i < len(s) && s[i] != quote; i++ {
+				if s[i] == '\\' && i+1 < len(s) {
+					i++
+				}
+				b.WriteByte(s[i])
+			}
+			if !strings.HasPrefix(s[min(i, len(s)):], string(quote)+"]") {
+				return nil, bad
+			}
+			r.path = append(r.path, b.String())
+			s = s[i+2:]
+		case s[0] == '[':
+			digits, rest, ok := strings.Cut(s[1:], "]")
+			i, err := strconv.Atoi(digits)
+			if !ok || err != nil || i < 0 {
+				return nil, bad
+			}
+			r.path = append(r.path, i)
+			s = rest
+		default:
+			return nil, bad
+		}
+	}
+	if r.root == "null" && len(r.path) > 0 {
+		return nil, bad
+	}
+	return r, nil
+}
+
+func (r *reference) follow(sc Scope) (any, error) {
+	var v any
+	switch r.root {
+	case "inputs":
+		v = sc.Inputs
+	case "self":
+		v = sc.Self
+	case "runtime":
+		v = sc.Runtime
+	}
+	for i, p := range r.path {
+		switch x := v.(type) {
+		case map[string]any:
+			key, ok := p.(string)
+			next, there := x[key]
+			if !ok || !there {
+				return nil, fmt.Errorf("%q: there is no %v", "$"+r.text, p)
+			}
+			v = next
+		case []any:
+			switch k := p.(type) {
+			case int:
+				if k >= len(x) {
+					return nil, fmt.Errorf("%q: the list has %d elements", "$"+r.text, len(x))
+				}
+				v = x[k]
+			default:
+				if k != "length" || i != len(r.path)-1 {
+					return nil, fmt.Errorf("%q: a list has no %v", "$"+r.text, p)
+				}
+				v = int64(len(x))
+			}
+		default:
+			return nil, fmt.Errorf("%q: %s has no %v", "$"+r.text, describe(v), p)
+		}
+	}
+	return v, nil
+}
+
+// run evaluates JavaScript in a runtime of its own, without input or output, within the
+// bounds of time, memory and depth.
+func (j *JavaScript) run(ctx context.Context, p piece, sc Scope) (any, error) {
+	vm := goja.New()
+	vm.SetMaxCallStackSize(exprStack)
+	for name, v := range map[string]any{"inputs": sc.Inputs, "self": sc.Self, "runtime": sc.Runtime} {
+		x, err := toJS(vm, v)
+		if err != nil {
+			return nil, err
+		}
+		if err := vm.Set(name, x); err != nil {
+			return nil, err
+		}
+	}
+	stop := watch(ctx, vm)
+	defer stop()
+	for _, lib := range j.Lib {
+		if _, err := vm.RunString(lib); err != nil {
+			return nil, exprError(p, err)
+		}
+	}
+	v, err := vm.RunString(program(p))
+	if err != nil {
+		return nil, exprError(p, err)
+	}
+	stringify, _ := goja.AssertFunction(vm.Get("JSON").ToObject(vm).Get("stringify"))
+	text, err := stringify(goja.Undefined(), v)
+	if err != nil {
+		return nil, exprError(p, err)
+	}
+	if goja.IsUndefined(text) {
+		return nil, nil
+	}
+	if len(text.String()) > exprResult {
+		return nil, fmt.Errorf("%q: %w", shorten(p.expr), ErrExprSize)
+	}
+	return fromJSON([]byte(text.String()))
+}
+
+func exprError(p piece, err error) error {
+	var stopped *goja.InterruptedError
+	if errors.As(err, &stopped) {
+		if cause, ok := stopped.Value().(error); ok {
+			err = cause
+		}
+	}
+	return fmt.Errorf("%q: %w", shorten("$"+p.expr), err)
+}
+
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
+func heap() uint64 {
+	s := []metrics.Sample{{Name: heapMetric}}
+	metrics.Read(s)
+	return s[0].Value.Uint64()
+}
+
+// watch interrupts a runtime that goes beyond its bounds, until it is told to stop.
+func watch(ctx context.Context, vm *goja.Runtime) (stop func()) {
+	done := make(chan struct{})
+	began, before := time.Now(), heap()
+	go func() {
+		tick := time.NewTicker(5 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ctx.Done():
+				vm.Interrupt(ctx.Err())
+				return
+			case <-tick.C:
+				if time.Since(began) > exprTime {
+					vm.Interrupt(ErrExprTime)
+					return
+				}
+				if now := heap(); now > before+exprMemory {
+					vm.Interrupt(ErrExprMemory)
+					return
+				}
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(done) })
+}
+
+// toJS makes a value of a runtime's own out of one of ours, so that an expression can't
+// change ours.
+func toJS(vm *goja.Runtime, v any) (goja.Value, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	parse, _ := goja.AssertFunction(vm.Get("JSON").ToObject(vm).Get("parse"))
+	return parse(goja.Undefined(), vm.ToValue(string(b)))
+}
+
+// fromJSON reads a value, whole numbers as such.
+func fromJSON(b []byte) (any, error) {
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.UseNumber()
+	var v any
+	if err := d.Decode(&v); err != nil {
+		return nil, err
+	}
+	return numbers(v), nil
+}
+
+func numbers(v any) any {
+	switch x := v.(type) {
+	case json.Number:
+		if i, err := x.Int64(); err == nil {
+			return i
+		}
+		f, _ := x.Float64()
+		if f == math.Trunc(f) && math.Abs(f) < 1<<53 {
+			return int64(f)
+		}
+		return f
+	case []any:
+		for i := range x {
+			x[i] = numbers(x[i])
+		}
+	case map[string]any:
+		for k := range x {
+			x[k] = numbers(x[k])
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/cwl/fuzz_test.go
@@ -0,0 +1,56 @@
+package cwl
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// FuzzLoad: no document does harm, and what is taken can be started or says why not.
+func FuzzLoad(f *testing.F) {
+	for _, s := range suitesOf(f) {
+		for _, c := range s.Documents {
+			f.Add([]byte(c.Doc))
+		}
+		for _, c := range s.Runs {
+			f.Add([]byte(c.Doc))
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		p, _, err := Load(Bundle{"main.cwl": b}, "main.cwl")
+		if err != nil {
+			return
+		}
+		if r, err := Start(ctx, p, map[string]any{}); err == nil {
+			r.Ready(10)
+		}
+	})
+}
+
+// FuzzEval: no expression does harm, takes long, or changes its inputs.
+func FuzzEval(f *testing.F) {
+	for _, s := range suitesOf(f) {
+		for _, c := range s.Expressions {
+			f.Add(c.Text, c.JS)
+		}
+	}
+	f.Fuzz(func(t *testing.T, text string, js bool) {
+		var n Needs
+		if js {
+			n.JavaScript = &JavaScript{}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		inputs := map[string]any{"a": []any{int64(1), "x"}}
+		began := time.Now()
+		_, _ = n.Eval(ctx, text, Scope{Inputs: inputs})
+		if took := time.Since(began); took > 10*time.Second {
+			t.Errorf("took %v", took)
+		}
+		if jsonText(inputs) != `{"a":[1,"x"]}` {
+			t.Errorf("changed its inputs to %s", jsonText(inputs))
+		}
+	})
+}
--- /dev/null
+++ b/internal/cwl/inputs.go
@@ -0,0 +1,233 @@
+package cwl
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"go.yaml.in/yaml/v4"
+)
+
+// InputSchema is the JSON schema of a process's inputs, for clients that offer a form and
+// for ReadInputs.
+func (p *Process) InputSchema() map[string]any {
+	props, required := map[string]any{}, []any{}
+	for i := range p.Inputs {
+		in := &p.Inputs[i]
+		s := in.Type.schema()
+		if in.Default != nil && !in.Type.Optional() {
+			s = map[string]any{"anyOf": []any{s, map[string]any{"type": "null"}}}
+		}
+		props[in.ID] = s
+		if in.Default == nil && !in.Type.Optional() {
+			required = append(required, in.ID)
+		}
+	}
+	return map[string]any{"$schema": "https://json-schema.org/draft/2020-12/schema", "type": "object", "properties": props, "required": required,
+		"patternProperties": map[string]any{":": true}, "additionalProperties": false}
+}
+
+func (t *Type) schema() map[string]any {
+	is := func(name string) map[string]any { return map[string]any{"type": name} }
+	switch t.Kind {
+	case KindNull, KindBoolean, KindString:
+		return is(string(t.Kind))
+	case KindInt:
+		return map[string]any{"type": "integer", "minimum": -1 << 31, "maximum": 1<<31 - 1}
+	case KindLong:
+		return is("integer")
+	case KindFloat, KindDouble:
+		return is("number")
+	case KindEnum:
+		symbols := make([]any, len(t.Symbols))
+		for i, s := range t.Symbols {
+			symbols[i] = s
+		}
+		return map[string]any{"enum": symbols}
+	case KindFile, KindDirectory:
+		from := []any{}
+		for _, field := range map[Kind][]string{KindFile: {"location", "path", "contents"}, KindDirectory: {"location", "path", "listing"}}[t.Kind] {
+			from = append(from, map[string]any{"required": []any{field}})
+		}
+		return map[string]any{"type": "object", "properties": map[string]any{"class": map[string]any{"const": string(t.Kind)}}, "required": []any{"class"}, "anyOf": from}
+	case KindArray:
+		return map[string]any{"type": "array", "items": t.Items.schema()}
+	case KindRecord:
+		props, required := map[string]any{}, []any{}
+		for _, f := range t.Fields {
+			props[f.Name] = f.Type.schema()
+			if !f.Type.Optional() {
+				required = append(required, f.Name)
+			}
+		}
+		return map[string]any{"type": "object", "properties": props, "required": required}
+	case KindUnion:
+		var list []any
+		for _, u := range t.Union {
+			list = append(list, u.schema())
+		}
+		return map[string]any{"anyOf": list}
+	}
+	return map[string]any{"not": is("null")} // Any
+}
+
+// ReadInputs reads inputs in YAML or JSON and checks them. The error is Problems, with the
+// place in the text of each. Defaults are not filled in.
+func (p *Process) ReadInputs(file string, b []byte) (map[string]any, error) {
+	n, err := parseYAML(file, b)
+	if err != nil {
+		return nil, err
+	}
+	r := &reading{bundle: Bundle{}}
+	if n, err = r.directives(file, n, 0); err != nil {
+		return nil, Problems{{File: file, Reason: err.Error()}}
+	}
+	v, ok := value(n).(map[string]any)
+	if !ok {
+		return nil, Problems{at{file: file, n: n}.problem("expected inputs by name, found %s", kindOf(n))}
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("inputs.json", jsonValue(p.InputSchema())); err != nil {
+		return nil, err
+	}
+	schema, err := c.Compile("inputs.json")
+	if err != nil {
+		return nil, err
+	}
+	var invalid *jsonschema.ValidationError
+	if err := schema.Validate(jsonValue(v)); errors.As(err, &invalid) {
+		return nil, p.problems(file, n, v, invalid)
+	} else if err != nil {
+		return nil, err
+	}
+	for k := range v {
+		if strings.Contains(k, ":") {
+			delete(v, k)
+		}
+	}
+	return v, nil
+}
+
+// jsonValue turns whole numbers into what the schema library counts as integers.
+func jsonValue(v any) any {
+	switch x := v.(type) {
+	case int64:
+		return int(x)
+	case []any:
+		out := make([]any, len(x))
+		for i := range x {
+			out[i] = jsonValue(x[i])
+		}
+		return out
+	case map[string]any:
+		out := make(map[string]any, len(x))
+		for k := range x {
+			out[k] = jsonValue(x[k])
+		}
+		return out
+	}
+	return v
+}
+
+// problems tells what the schema found, in our words where the type has any: of a union
+// the library tells what is wrong with each alternative.
+func (p *Process) problems(file string, n *yaml.Node, v map[string]any, invalid *jsonschema.ValidationError) Problems {
+	leaves := map[string]*jsonschema.ValidationError{}
+	var walk func(e *jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		for _, c := range e.Causes {
+			walk(c)
+		}
+		if len(e.Causes) == 0 {
+			leaves[strings.Join(e.InstanceLocation, "/")] = e
+		}
+	}
+	walk(invalid)
+	var out Problems
+	told := map[string]bool{}
+	for _, path := range slices.Sorted(maps.Keys(leaves)) {
+		e := leaves[path]
+		a := at{file: file, n: n}
+		for _, part := range e.InstanceLocation {
+			a = a.child(part)
+		}
+		if len(e.InstanceLocation) == 0 {
+			out = append(out, p.missing(a, v)...)
+			continue
+		}
+		id := e.InstanceLocation[0]
+		if told[id] {
+			continue
+		}
+		told[id] = true
+		if in := p.input(id); in != nil {
+			if err := in.Type.Check(v[id]); err != nil {
+				a := at{file: file, n: n}.child(id)
+				out = append(out, a.problem("%v", err))
+				continue
+			}
+			out = append(out, a.problem("expected %s with location, path, contents or listing", in.Type))
+			continue
+		}
+		out = append(out, a.problem("%s has no such input", name(p)))
+	}
+	return out
+}
+
+// missing tells which inputs are not given, and which are not known.
+func (p *Process) missing(a at, v map[string]any) Problems {
+	var out Problems
+	for _, in := range p.Inputs {
+		if _, ok := v[in.ID]; !ok && in.Default == nil && !in.Type.Optional() {
+			out = append(out, a.in(in.ID, a.n).problem("is missing; expected %s", in.Type))
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(v)) {
+		if p.input(id) == nil && !strings.Contains(id, ":") {
+			out = append(out, a.child(id).problem("%s has no such input", name(p)))
+		}
+	}
+	return out
+}
+
+// child is a field or an element of a place.
+func (a at) child(part string) at {
+	if a.n == nil {
+		return a
+	}
+	switch a.n.Kind {
+	case yaml.MappingNode:
+		for _, e := range entries(a.n) {
+			if e.key.Value == part {
+				return a.in(part, e.node)
+			}
+		}
+	case yaml.SequenceNode:
+		if i, err := strconv.Atoi(part); err == nil && i >= 0 && i < len(a.n.Content) {
+			return a.in("["+part+"]", a.n.Content[i])
+		}
+	}
+	return a
+}
+
+// Complete fills defaults in and checks the whole: what a process runs with.
+func (p *Process) Complete(v map[string]any) (map[string]any, error) {
+	out := make(map[string]any, len(p.Inputs))
+	var errs []error
+	for i := range p.Inputs {
+		in := &p.Inputs[i]
+		x := v[in.ID]
+		if x == nil {
+			x = in.Default
+		}
+		if err := in.Type.Check(x); err != nil {
+			errs = append(errs, fmt.Errorf("input %s: %w", in.ID, err))
+		}
+		out[in.ID] = x
+	}
+	return out, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/cwl/source.go
@@ -0,0 +1,407 @@
+// Package cwl reads, checks and evaluates workflows in the Common Workflow Language,
+// version 1.2: documents, types, expressions, command lines, outputs, and what of a
+// workflow is ready to run. It runs nothing itself and knows nothing of controllers.
+// Headings named in comments are those of the published standard.
+package cwl
+
+import (
+	"errors"
+	"fmt"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v4"
+)
+
+// Problem is one mistake in a document or in inputs, or a warning about one.
+type Problem struct {
+	File         string
+	Line, Column int    // from 1; 0 if unknown
+	Field        string // "steps.read.run"
+	Reason       string // what was found and what was expected
+}
+
+// String is the problem on one line: FILE:LINE:COLUMN: FIELD: REASON.
+func (p Problem) String() string {
+	where := p.File
+	if p.Line > 0 {
+		where += fmt.Sprintf(":%d:%d", p.Line, p.Column)
+	}
+	if p.Field != "" {
+		where += ": " + p.Field
+	}
+	return where + ": " + p.Reason
+}
+
+// Problems are all that is wrong, in the order of the text.
+type Problems []Problem
+
+// Error lists the problems, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i := range p {
+		lines[i] = p[i].String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Bundle is what a client hands over: files by their slash-separated relative paths.
+// References lead nowhere else.
+type Bundle map[string][]byte
+
+// Limits of documents.
+const (
+	mostBundle  = 16 << 20 // bytes
+	mostNodes   = 200_000  // YAML nodes read, aliases counted each time
+	mostNesting = 64       // processes within processes, and nodes within nodes
+)
+
+// reading is one loading under way.
+type reading struct {
+	bundle   Bundle
+	parsed   map[string]*yaml.Node
+	nodes    int
+	problems Problems
+	warnings Problems
+	types    map[string]*Type // of SchemaDefRequirement, by file and name
+}
+
+// at is a place in a file, with the name of what stands there.
+type at struct {
+	file  string
+	field string
+	n     *yaml.Node
+}
+
+func (a at) in(field string, n *yaml.Node) at {
+	if a.field != "" && !strings.HasPrefix(field, "[") {
+		field = "." + field
+	}
+	return at{a.file, a.field + field, n}
+}
+
+func (a at) problem(format string, args ...any) Problem {
+	p := Problem{File: a.file, Field: a.field, Reason: fmt.Sprintf(format, args...)}
+	if a.n != nil {
+		p.Line, p.Column = a.n.Line, a.n.Column
+	}
+	return p
+}
+
+func (r *reading) fail(a at, format string, args ...any) {
+	p := a.problem(format, args...)
+	if !slices.Contains(r.problems, p) {
+		r.problems = append(r.problems, p)
+	}
+}
+
+func (r *reading) warn(a at, format string, args ...any) {
+	r.warnings = append(r.warnings, a.problem(format, args...))
+}
+
+var errTooLarge = errors.New("the document is too large or too deeply nested")
+
+// open parses a file of the bundle, once.
+func (r *reading) open(name string) (*yaml.Node, error) {
+	if n, ok := r.parsed[name]; ok {
+		return n, nil
+	}
+	b, ok := r.bundle[name]
+	if !ok {
+		return nil, fmt.Errorf("there is no %q in the bundle", name)
+	}
+	n, err := parseYAML(name, b)
+	if err != nil {
+		return nil, err
+	}
+	if n, err = r.directives(name, n, 0); err != nil {
+		return nil, err
+	}
+	r.parsed[name] = n
+	return n, nil
+}
+
+// parseYAML reads one YAML or JSON document.
+func parseYAML(name string, b []byte) (*yaml.Node, error) {
+	var doc yaml.Node
+	if err := yaml.Unmarshal(b, &doc); err != nil {
+		line, reason := 0, strings.TrimPrefix(err.Error(), "yaml: ")
+		if rest, ok := strings.CutPrefix(reason, "line "); ok {
+			if num, text, ok := strings.Cut(rest, ": "); ok {
+				line, _ = strconv.Atoi(num)
+				reason = text
+			}
+		}
+		return nil, Problems{{File: name, Line: line, Column: min(line, 1), Reason: reason}}
+	}
+	if len(doc.Content) == 0 {
+		return nil, Problems{{File: name, Line: 1, Column: 1, Reason: "the document is empty"}}
+	}
+	return doc.Content[0], nil
+}
+
+// directives follows aliases and carries out $import and $include (Schema Salad, "Import"
+// and "Include"), within the bundle. What it returns shares nothing with its input.
+func (r *reading) directives(file string, n *yaml.Node, depth int) (*yaml.Node, error) {
+	if r.nodes++; r.nodes > mostNodes || depth > mostNesting {
+		return nil, errTooLarge
+	}
+	for n.Kind == yaml.AliasNode {
+		if r.nodes++; r.nodes > mostNodes {
+			return nil, errTooLarge
+		}
+		n = n.Alias
+	}
+	if n.Kind == yaml.MappingNode && len(n.Content) == 2 {
+		what, ref := n.Content[0].Value, n.Content[1]
+		if what == "$import" || what == "$include" {
+			name, _, err := resolve(file, ref.Value)
+			if err != nil {
+				return nil, Problems{at{file, what, ref}.problem("%v", err)}
+			}
+			if what == "$include" {
+				b, ok := r.bundle[name]
+				if !ok {
+					return nil, Problems{at{file, what, ref}.problem("there is no %q in the bundle", name)}
+				}
+				return &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: string(b), Line: ref.Line, Column: ref.Column}, nil
+			}
+			b, ok := r.bundle[name]
+			if !ok {
+				return nil, Problems{at{file, what, ref}.problem("there is no %q in the bundle", name)}
+			}
+			imported, err := parseYAML(name, b)
+			if err != nil {
+				return nil, err
+			}
+			return r.directives(name, imported, depth+1)
+		}
+	}
+	out := *n
+	out.Alias, out.Anchor, out.Content = nil, "", nil
+	for _, c := range n.Content {
+		x, err := r.directives(file, c, depth+1)
+		if err != nil {
+			return nil, err
+		}
+		out.Content = append(out.Content, x)
+	}
+	return &out, nil
+}
+
+// resolve is the file and fragment that a reference in a file leads to.
+func resolve(file, ref string) (name, fragment string, err error) {
+	name, fragment, _ = strings.Cut(ref, "#")
+	if strings.Contains(name, "://") && !strings.HasPrefix(name, "file://") || strings.HasPrefix(name, "file://") || path.IsAbs(name) {
+		return "", "", fmt.Errorf("%q leads out of the bundle; only relative paths within it are read", ref)
+	}
+	if name == "" {
+		return file, fragment, nil
+	}
+	name = path.Join(path.Dir(file), name)
+	if name == ".." || strings.HasPrefix(name, "../") {
+		return "", "", fmt.Errorf("%q leads out of the bundle; only relative paths within it are read", ref)
+	}
+	return name, fragment, nil
+}
+
+// entry is one field of a mapping.
+type entry struct {
+	key  *yaml.Node
+	node *yaml.Node
+}
+
+// fields reads a mapping. Fields outside known that have no namespace are mistakes; what
+// is in a namespace is an extension and passed over ("Extensions and metadata").
+func (r *reading) fields(a at, known ...string) map[string]at {
+	out := map[string]at{}
+	if a.n == nil || a.n.Kind != yaml.MappingNode {
+		r.fail(a, "expected fields and values, found %s", kindOf(a.n))
+		return out
+	}
+	for _, e := range entries(a.n) {
+		k := e.key.Value
+		if _, twice := out[k]; twice {
+			r.fail(a.in(k, e.key), "is given twice")
+			continue
+		}
+		if len(known) > 0 && !slices.Contains(known, k) {
+			if !strings.Contains(k, ":") && !strings.HasPrefix(k, "$") {
+				r.fail(a.in(k, e.key), "no such field; expected one of %s", strings.Join(known, ", "))
+			}
+			continue
+		}
+		out[k] = a.in(k, e.node)
+	}
+	return out
+}
+
+func entries(n *yaml.Node) []entry {
+	var out []entry
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		out = append(out, entry{n.Content[i], n.Content[i+1]})
+	}
+	return out
+}
+
+func kindOf(n *yaml.Node) string {
+	if n == nil {
+		return "nothing"
+	}
+	switch n.Kind {
+	case yaml.MappingNode:
+		return "fields"
+	case yaml.SequenceNode:
+		return "a list"
+	}
+	switch n.ShortTag() {
+	case "!!null":
+		return "null"
+	case "!!bool":
+		return "a boolean"
+	case "!!int", "!!float":
+		return "a number"
+	}
+	return fmt.Sprintf("%q", shorten(n.Value))
+}
+
+func shorten(s string) string {
+	if len(s) > 60 {
+		return s[:57] + "..."
+	}
+	return s
+}
+
+func isNull(n *yaml.Node) bool {
+	return n == nil || n.Kind == yaml.ScalarNode && n.ShortTag() == "!!null"
+}
+
+// text reads a string.
+func (r *reading) text(a at) string {
+	if a.n == nil {
+		return ""
+	}
+	if a.n.Kind != yaml.ScalarNode || a.n.ShortTag() != "!!str" {
+		r.fail(a, "expected a string, found %s", kindOf(a.n))
+		return ""
+	}
+	return a.n.Value
+}
+
+// texts reads a string or a list of strings.
+func (r *reading) texts(a at) []string {
+	if isNull(a.n) {
+		return nil
+	}
+	if a.n.Kind != yaml.SequenceNode {
+		return []string{r.text(a)}
+	}
+	out := []string{}
+	for i, c := range a.n.Content {
+		out = append(out, r.text(a.in(fmt.Sprintf("[%d]", i), c)))
+	}
+	return out
+}
+
+func (r *reading) boolean(a at, otherwise bool) bool {
+	if isNull(a.n) {
+		return otherwise
+	}
+	if a.n.ShortTag() != "!!bool" {
+		r.fail(a, "expected true or false, found %s", kindOf(a.n))
+		return otherwise
+	}
+	var v bool
+	_ = a.n.Decode(&v)
+	return v
+}
+
+func (r *reading) ints(a at) []int {
+	var out []int
+	if isNull(a.n) {
+		return nil
+	}
+	if a.n.Kind != yaml.SequenceNode {
+		r.fail(a, "expected a list of whole numbers, found %s", kindOf(a.n))
+		return nil
+	}
+	for i, c := range a.n.Content {
+		var v int
+		if c.ShortTag() != "!!int" || c.Decode(&v) != nil {
+			r.fail(a.in(fmt.Sprintf("[%d]", i), c), "expected a whole number, found %s", kindOf(c))
+			continue
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (r *reading) oneOf(a at, otherwise string, allowed ...string) string {
+	if isNull(a.n) {
+		return otherwise
+	}
+	if a.n.Kind != yaml.ScalarNode || !slices.Contains(allowed, a.n.Value) {
+		r.fail(a, "expected one of %s, found %s", strings.Join(allowed, ", "), kindOf(a.n))
+		return otherwise
+	}
+	return a.n.Value
+}
+
+// named reads a list of things with an id, or the same as a mapping from ids ("Identifier
+// maps"); a value that isn't a mapping stands for the field that predicate names.
+func (r *reading) named(a at, key, predicate string, f func(id string, a at)) {
+	if isNull(a.n) {
+		return
+	}
+	switch a.n.Kind {
+	case yaml.MappingNode:
+		seen := map[string]bool{}
+		for _, e := range entries(a.n) {
+			if seen[e.key.Value] {
+				r.fail(a.in(e.key.Value, e.key), "is given twice")
+				continue
+			}
+			seen[e.key.Value] = true
+			v := e.node
+			if v.Kind != yaml.MappingNode && predicate != "" && !isNull(v) {
+				v = &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map", Line: v.Line, Column: v.Column,
+					Content: []*yaml.Node{{Kind: yaml.ScalarNode, Tag: "!!str", Value: predicate, Line: v.Line, Column: v.Column}, v}}
+			}
+			if isNull(v) {
+				v = &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map", Line: e.key.Line, Column: e.key.Column}
+			}
+			f(e.key.Value, a.in(e.key.Value, v))
+		}
+	case yaml.SequenceNode:
+		for i, c := range a.n.Content {
+			x := a.in(fmt.Sprintf("[%d]", i), c)
+			if c.Kind != yaml.MappingNode {
+				r.fail(x, "expected fields and values, found %s", kindOf(c))
+				continue
+			}
+			id := ""
+			for _, e := range entries(c) {
+				if e.key.Value == key {
+					id = r.text(x.in(key, e.node))
+				}
+			}
+			if id == "" {
+				r.fail(x, "%s is missing", key)
+				continue
+			}
+			f(localName(id), a.in(localName(id), c))
+		}
+	default:
+		r.fail(a, "expected a list or a mapping, found %s", kindOf(a.n))
+	}
+}
+
+// localName is the last part of an identifier: "#main/read" is "read".
+func localName(id string) string {
+	if i := strings.LastIndexAny(id, "#/"); i >= 0 {
+		return id[i+1:]
+	}
+	return id
+}
