Workflows: steps as ordinary jobs, driven from documents and jobs alone; commands; stand-ins

A workflow is a record and its documents; its steps' jobs have ids that follow from the workflow, the step and the attempt, and are accepted on the condition that the workflow is active. Any controller takes one over by replaying; two that drive it do the same.

--- a/cmd/maddermill/serve.go
+++ b/cmd/maddermill/serve.go
@@ -17,6 +17,7 @@
 	"maddermill/internal/api"
 	"maddermill/internal/cloud"
 	"maddermill/internal/controller"
+	"maddermill/internal/data"
 	"maddermill/internal/http1"
 	"maddermill/internal/settings"
 	"maddermill/internal/state"
@@ -42,7 +43,7 @@
 	userShare   = 0.6
 )
 
-func serve(ctx context.Context, config, operators, topology string) error {
+func serve(ctx context.Context, config, operators, topology, workflows string) error {
 	set, err := settings.Load(config, operators)
 	if err != nil {
 		return err
@@ -79,6 +80,12 @@
 		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 1, MaxBody: held},
 		set.Cluster.State.RPS, set.Cluster.State.WriteRPS, set.Cluster.Count, set.Cluster.State.TxnOps)
 	core := controller.New(set, store, log)
+	if workflows != "" {
+		if err := os.MkdirAll(workflows, 0o755); err != nil {
+			return fmt.Errorf("--workflows: %w", err)
+		}
+		core.SetWorkflows(data.Dir{Root: workflows})
+	}
 	var reread chan os.Signal
 	if topology != "" {
 		t, err := controller.ReadTopology(topology, set.Cluster.Zones)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,6 +19,7 @@
 
 	"github.com/spf13/cobra"
 
+	"maddermill/internal/data"
 	"maddermill/internal/standin"
 	"maddermill/wire"
 )
@@ -62,6 +63,45 @@
  "loaners":true,"expect_s":5.0,"snapshot_s":0.0,"stash_s":0.0}
 `
 
+const chainFile = `cwlVersion: v1.2
+class: Workflow
+requirements: {InlineJavascriptRequirement: {}}
+inputs:
+  receipt: {type: string, default: "fuel 41.50"}
+outputs:
+  paid: {type: string, outputSource: pay/slip}
+steps:
+  read:
+    in: {text: receipt}
+    out: [page]
+    run:
+      class: CommandLineTool
+      baseCommand: echo
+      stdout: page.txt
+      inputs: {text: {type: string, inputBinding: {}}}
+      outputs: {page: stdout}
+  check:
+    in: {page: read/page}
+    out: [verdict]
+    run:
+      class: CommandLineTool
+      baseCommand: cat
+      stdout: checked.txt
+      inputs: {page: {type: File, inputBinding: {}}}
+      outputs:
+        verdict: {type: string, outputBinding: {glob: checked.txt, loadContents: true, outputEval: "$(self[0].contents.trim())"}}
+  pay:
+    in: {what: check/verdict}
+    out: [slip]
+    run:
+      class: CommandLineTool
+      baseCommand: [echo, paid]
+      stdout: slip.txt
+      inputs: {what: {type: string, inputBinding: {}}}
+      outputs:
+        slip: {type: string, outputBinding: {glob: slip.txt, loadContents: true, outputEval: "$(self[0].contents.trim())"}}
+`
+
 const gangJob = "wk-000002"
 
 const gangFile = `{"id":"wk-000002","workclass":"trial","owner":"try","shape":"gang","urgency":"high","pieces":4,
@@ -91,6 +131,7 @@
 		return fmt.Errorf("--listen: %q is not a loopback address and port", listen)
 	}
 	addr := func(i uint16) string { return netip.AddrPortFrom(first.Addr(), first.Port()+i).String() }
+	file := func(ending string) string { return filepath.Join(dir, "maddermill-try"+ending) }
 	world := standin.NewWorld(40 * time.Second)
 	store := standin.NewStore(20, 16<<10)
 	store.Seen = func(c wire.Change) {
@@ -107,11 +148,16 @@
 		},
 		Types: []wire.Flavor{{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 40, FetchGBps: 1, Price: 1, SpotPrice: 0.4,
 			Boot: 3, Zones: []wire.Zone{"here", "there"}}}}
+	steps := data.Dir{Root: file("-data")}
+	world.Finished = func(t wire.TaskID) {
+		if err := standin.RunStep(ctx, steps, t.Job); err != nil {
+			log.Printf("step %s: %v", t.Job, err)
+		}
+	}
 	cl.Started = func(m *standin.Machine) { go work(ctx, m, addr(0)) }
-	file := func(ending string) string { return filepath.Join(dir, "maddermill-try"+ending) }
 	config, job, gang, places := file(".toml"), file(".json"), file("-gang.json"), file("-topology.txtpb")
 	for name, text := range map[string]string{config: fmt.Sprintf(settingsFile, addr(0), addr(1), addr(2), addr(3)),
-		job: jobFile, gang: gangFile, places: standin.Topology(cl.Types[0].Zones)} {
+		job: jobFile, gang: gangFile, file("-chain.cwl"): chainFile, places: standin.Topology(cl.Types[0].Zones)} {
 		if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
 			return err
 		}
@@ -126,11 +172,13 @@
 		defer server.Close()
 		go func() { failed <- server.Serve(l) }()
 	}
-	fmt.Printf("Stand-ins are up. In another terminal:\n\n  target/maddermill --config %s --topology %s\n\nand in a third:\n\n"+
+	fmt.Printf("Stand-ins are up. In another terminal:\n\n  target/maddermill --config %s --topology %s --workflows %s\n\nand in a third:\n\n"+
 		"  target/maddermill job submit %s --server %s\n  target/maddermill job get wk-000001 --server %s\n\n"+
 		"A gang of four, and where it sits (while it runs, for a minute):\n\n"+
-		"  target/maddermill job submit %s --server %s\n  target/maddermill topology show --config %s\n",
-		config, places, job, addr(0), addr(0), gang, addr(0), config)
+		"  target/maddermill job submit %s --server %s\n  target/maddermill topology show --config %s\n\n"+
+		"A workflow that reads a receipt, checks it and pays:\n\n"+
+		"  target/maddermill cwl submit %s --id wf-000001 --team try --server %s\n  target/maddermill cwl watch wf-000001 --server %s\n",
+		config, places, steps.Root, job, addr(0), addr(0), gang, addr(0), config, file("-chain.cwl"), addr(0), addr(0))
 	select {
 	case err := <-failed:
 		return err
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -27,6 +27,7 @@
 	Cancel(ctx context.Context, id wire.JobID) (wire.JobStatus, error)
 	Report(ctx context.Context, r *wire.Report) controller.ReportAnswer
 	Topology(now time.Time) (wire.TopologyView, bool)
+	Workflows
 	Healthy() bool
 }
 
@@ -145,6 +146,9 @@
 		}
 		return s.limited("submission", func() *http1.Response { return s.submit(ctx, q.Body) })
 	}
+	if q.Path == "/api/workflows" || strings.HasPrefix(q.Path, "/api/workflows/") {
+		return s.workflows(ctx, q)
+	}
 	if q.Path == "/api/topology" {
 		if q.Method != "GET" {
 			return notAllowed("GET")
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -48,6 +48,21 @@
 	return controller.ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: 3, Commands: []wire.Command{}}}
 }
 func (service) Healthy() bool { return true }
+func (service) SubmitWorkflow(_ context.Context, s *wire.WorkflowSpec) (wire.WorkflowStatus, bool, error) {
+	return wire.WorkflowStatus{ID: s.ID, Status: wire.Queued}, true, nil
+}
+func (service) WorkflowStatus(_ context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
+	if id != "wf-000001" {
+		return wire.WorkflowStatus{}, controller.ErrNoSuchJob
+	}
+	return wire.WorkflowStatus{ID: id, Status: wire.Done}, nil
+}
+func (s service) CancelWorkflow(ctx context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
+	return s.WorkflowStatus(ctx, id)
+}
+func (service) ResumeWorkflow(context.Context, wire.WorkflowID) (wire.WorkflowStatus, error) {
+	return wire.WorkflowStatus{}, controller.ErrNotFailed
+}
 func (service) Topology(time.Time) (wire.TopologyView, bool) {
 	return wire.TopologyView{Blocks: []wire.BlockView{{Path: "a", Level: "zone"}}, Gangs: []wire.GangView{{Job: "wk-000001"}}}, true
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -60,6 +60,7 @@
 	awaited, overdue int                     // as the leader: machines rented and not yet up
 	asking           map[wire.MachineID]room // as the leader: what holders are asked to empty
 	places           places
+	flows            flows
 
 	barriers   chan *barrier
 	pendingMu  sync.Mutex
--- /dev/null
+++ b/internal/controller/workflows.go
@@ -0,0 +1,462 @@
+package controller
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"slices"
+	"time"
+
+	"maddermill/internal/data"
+	"maddermill/internal/ledger"
+	"maddermill/internal/workflow"
+	"maddermill/wire"
+)
+
+// flows are the workflows that this controller drives, if they are switched on. Which
+// controller drives one follows from the workflow's name and the controllers in touch. That
+// two drive one for a while does no harm, that none does only lasts until the next look.
+type flows struct {
+	store  data.Store // nil: workflows are off
+	driven map[wire.WorkflowID]*driven
+}
+
+type driven struct {
+	run   *workflow.Run
+	at    wire.Revision // of the record that it was made from
+	next  time.Time     // no step before, after an error
+	steps []wire.StepStatus
+}
+
+// Bounds of driving workflows.
+const (
+	driveEvery    = time.Second
+	driveAgain    = 5 * time.Second // after an error
+	mostPieces    = 26 * 26
+	mostDocuments = 8 << 20 // bytes unpacked
+	// doubtfulAfter is after how many rounds of failures on several machines a step's job is
+	// given up. A user's job is not: its user may know better.
+	doubtfulAfter = 3
+	// stepShare is the part of a controller's share of changes that submitting steps may
+	// take, so that a wide workflow leaves room for users and starts.
+	stepShare = 0.25
+)
+
+// Errors that users of workflows are told of.
+var (
+	ErrNoWorkflows = errors.New("workflows are not switched on")
+	ErrNotFailed   = errors.New("only a workflow that failed can be resumed")
+)
+
+// SetWorkflows switches workflows on. What steps pass to each other is kept in store.
+func (c *Core) SetWorkflows(store data.Store) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.flows = flows{store: store, driven: map[wire.WorkflowID]*driven{}}
+}
+
+// driveWorkflows drives this controller's part of the workflows.
+func (c *Core) driveWorkflows(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, driveEvery)
+		c.mu.Lock()
+		var mine []*ledger.Workflow
+		if c.flows.store != nil && c.loaded && time.Since(c.contact) < startContact {
+			mine = c.myWorkflows(time.Now())
+		}
+		c.mu.Unlock()
+		budget := max(1, int(c.set.Cluster.State.WriteRPS/float64(c.set.Cluster.Count)*stepShare))
+		for i, w := range mine {
+			// What is left of the budget is shared among those that are left.
+			share := max(1, budget/(len(mine)-i))
+			if budget <= 0 {
+				share = 0
+			}
+			n, err := c.drive(ctx, w, share)
+			budget -= n
+			if err != nil && ctx.Err() == nil {
+				c.log.Warn("workflow does not move on", "workflow", w.ID, "err", err)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// myWorkflows are those that are not over and that fall to this controller, by weights
+// that each member has for each workflow, so that few change hands when a member goes.
+func (c *Core) myWorkflows(now time.Time) []*ledger.Workflow {
+	members := append(c.peersInTouch(now), c.set.Member)
+	var out []*ledger.Workflow
+	c.led.Workflows(func(w *ledger.Workflow) {
+		if w.State != ledger.WorkflowActive && (w.State != ledger.WorkflowCancelled || w.Swept) {
+			delete(c.flows.driven, w.ID)
+			return
+		}
+		best := slices.MaxFunc(members, func(a, b wire.MemberID) int {
+			return cmp.Or(cmp.Compare(weight(a, w.ID), weight(b, w.ID)), cmp.Compare(a, b))
+		})
+		if best == c.set.Member {
+			out = append(out, w)
+		} else {
+			delete(c.flows.driven, w.ID)
+		}
+	})
+	slices.SortFunc(out, func(a, b *ledger.Workflow) int {
+		return cmp.Or(cmp.Compare(a.Spec.Priority.Rank(), b.Spec.Priority.Rank()), cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+func weight(m wire.MemberID, w wire.WorkflowID) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(m))
+	h.Write([]byte{0})
+	h.Write([]byte(w))
+	return h.Sum64() * 0x9e3779b97f4a7c15 // names that end alike are spread
+}
+
+// drive moves one workflow on.
+func (c *Core) drive(ctx context.Context, w *ledger.Workflow, most int) (submitted int, err error) {
+	c.mu.Lock()
+	d := c.flows.driven[w.ID]
+	if d != nil && d.at != w.Version {
+		d = nil // resumed, or cancelled
+	}
+	c.mu.Unlock()
+	now := time.Now()
+	if d != nil && now.Before(d.next) {
+		return 0, nil
+	}
+	if d == nil {
+		docs, err := c.documents(ctx, w)
+		if err != nil {
+			return 0, err
+		}
+		run, err := workflow.Resume(ctx, w, docs, stepJobs{c}, c.flows.store)
+		if err != nil {
+			// They were checked when it was accepted, by another version perhaps.
+			return 0, stepJobs{c}.EndWorkflow(ctx, w.ID, ledger.WorkflowFailed, err.Error())
+		}
+		d = &driven{run: run, at: w.Version}
+	}
+	if w.State == ledger.WorkflowCancelled {
+		most = 0
+	}
+	over := false
+	submitted, over, err = d.run.Step(ctx, now, most)
+	if w.State == ledger.WorkflowCancelled && ctx.Err() == nil {
+		gone, e := d.run.Cancel(ctx)
+		if err = e; gone && e == nil {
+			err = c.commitNow(ctx, func(dr *ledger.Draft) error {
+				if now := c.led.Workflow(w.ID); now != nil {
+					return dr.SweepWorkflow(now)
+				}
+				return ledger.ErrStale
+			})
+			if errors.Is(err, ledger.ErrStale) {
+				err = nil
+			}
+		}
+	}
+	if err != nil {
+		d.next = now.Add(driveAgain)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d.steps = d.run.Steps()
+	if c.flows.driven[w.ID] = d; over {
+		delete(c.flows.driven, w.ID)
+	}
+	c.Stats.Add("workflow_steps_submitted_total", int64(submitted))
+	return submitted, err
+}
+
+// stepJobs is the service as workflows see it.
+type stepJobs struct{ c *Core }
+
+func (s stepJobs) StepState(id wire.JobID) workflow.JobState {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	j := s.c.led.Job(id)
+	switch {
+	case j == nil:
+		return workflow.Unknown
+	case j.State == ledger.Done:
+		return workflow.Done
+	case j.State == ledger.Cancelled:
+		return workflow.Cancelled
+	case s.c.suspect(id) && s.c.jobs[id].failures.rounds >= doubtfulAfter:
+		return workflow.Doubtful
+	}
+	return workflow.Active
+}
+
+// SubmitStep accepts a step's job as Submit does a user's, on the condition that the
+// workflow is active.
+func (s stepJobs) SubmitStep(ctx context.Context, of wire.WorkflowID, spec *wire.JobSpec) error {
+	c := s.c
+	c.mu.Lock()
+	verdict := c.feasible(spec)
+	c.mu.Unlock()
+	if errors.Is(verdict, ErrNeverRuns) {
+		return errors.Join(workflow.ErrNever, verdict)
+	}
+	if verdict != nil {
+		return errors.Join(workflow.ErrNotNow, verdict)
+	}
+	at := wire.UnixMillis(time.Now().UnixMilli())
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	err := c.commitNow(ctx, func(d *ledger.Draft) error {
+		w := c.led.Workflow(of)
+		if w == nil {
+			return ledger.ErrStale
+		}
+		if err := d.Under(w); err != nil {
+			return err
+		}
+		return d.Submit(spec, at)
+	})
+	switch {
+	case err == nil:
+		c.log.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "workflow", of)
+		c.Stats.Add("jobs_accepted_total", 1)
+		return nil
+	case errors.Is(err, ledger.ErrStale):
+		return nil // it is known, or the workflow is over: the next look tells
+	case errors.Is(err, ledger.ErrTooLarge):
+		return errors.Join(workflow.ErrNever, err)
+	}
+	return errors.Join(workflow.ErrNotNow, err)
+}
+
+func (s stepJobs) CancelStep(ctx context.Context, id wire.JobID) error {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	_, err := s.c.Cancel(ctx, id)
+	return err
+}
+
+func (s stepJobs) EndWorkflow(ctx context.Context, id wire.WorkflowID, state ledger.WorkflowState, why string) error {
+	_, err := s.c.endWorkflow(ctx, id, state, why)
+	return err
+}
+
+func (c *Core) endWorkflow(ctx context.Context, id wire.WorkflowID, state ledger.WorkflowState, why string) (got ledger.WorkflowState, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	err = c.commitNow(ctx, func(d *ledger.Draft) error {
+		w := c.led.Workflow(id)
+		if w == nil {
+			return ledger.ErrStale
+		}
+		var err error
+		got, err = d.EndWorkflow(w, state, why)
+		return err
+	})
+	if err == nil && got == state {
+		c.log.Info("workflow", "workflow", id, "state", cmp.Or(string(state), "active"), "why", why)
+	}
+	return got, err
+}
+
+// pack turns documents into pieces that fit the state service's values, and their hash.
+func (c *Core) pack(docs *workflow.Documents) (hash string, pieces []string, err error) {
+	b, err := json.Marshal(docs)
+	if err != nil {
+		return "", nil, err
+	}
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	if _, err := z.Write(b); err != nil {
+		return "", nil, err
+	}
+	if err := z.Close(); err != nil {
+		return "", nil, err
+	}
+	sum := sha256.Sum256(packed.Bytes())
+	size := (c.set.ValueBytes() - 64) / 4 * 3
+	for part := range slices.Chunk(packed.Bytes(), size) {
+		pieces = append(pieces, base64.StdEncoding.EncodeToString(part))
+	}
+	if len(pieces) > mostPieces {
+		return "", nil, fmt.Errorf("%w: its documents are too large", ErrNeverRuns)
+	}
+	return hex.EncodeToString(sum[:]), pieces, nil
+}
+
+// documents reads a workflow's documents from their pieces and checks them.
+func (c *Core) documents(ctx context.Context, w *ledger.Workflow) (*workflow.Documents, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	var packed []byte
+	for n := range w.Pieces {
+		it, err := c.store.Get(ctx, ledger.DocumentKey(w.Hash, n))
+		if err != nil {
+			return nil, err
+		}
+		var text string
+		if err := json.Unmarshal(it.Value, &text); err != nil {
+			return nil, err
+		}
+		part, err := base64.StdEncoding.DecodeString(text)
+		if err != nil {
+			return nil, err
+		}
+		packed = append(packed, part...)
+	}
+	if sum := sha256.Sum256(packed); hex.EncodeToString(sum[:]) != w.Hash {
+		return nil, fmt.Errorf("documents of %s are not what their hash says", w.ID)
+	}
+	z, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	b, err := io.ReadAll(io.LimitReader(z, mostDocuments))
+	if err != nil {
+		return nil, err
+	}
+	docs := new(workflow.Documents)
+	return docs, json.Unmarshal(b, docs)
+}
+
+// SubmitWorkflow accepts a workflow that Check has found right, or tells of one that is
+// known. Its documents are written first, under their hash, and only then the record.
+func (c *Core) SubmitWorkflow(ctx context.Context, spec *wire.WorkflowSpec) (st wire.WorkflowStatus, created bool, err error) {
+	if c.flows.store == nil {
+		return st, false, ErrNoWorkflows
+	}
+	if !c.isLoaded() {
+		return st, false, ErrUnavailable
+	}
+	c.mu.Lock()
+	known := c.led.Workflow(spec.ID) != nil
+	c.mu.Unlock()
+	if !known && c.set.Team(spec.Team) == nil {
+		if st, err = c.WorkflowStatus(ctx, spec.ID); errors.Is(err, ErrNoSuchJob) {
+			err = errors.Join(ErrNeverRuns, errors.New("unknown team"))
+		}
+		return st, false, err
+	}
+	if !known {
+		hash, pieces, err := c.pack(&workflow.Documents{Bundle: spec.Bundle, Inputs: spec.Inputs})
+		if err != nil {
+			return st, false, err
+		}
+		if err := c.writePieces(ctx, hash, pieces); err != nil {
+			return st, false, errors.Join(ErrUnavailable, err)
+		}
+		short := *spec
+		short.Bundle, short.Inputs = nil, nil
+		at := wire.UnixMillis(time.Now().UnixMilli())
+		err = c.commitNow(ctx, func(d *ledger.Draft) error {
+			return d.SubmitWorkflow(spec.ID, ledger.WorkflowRecord{Spec: &short, Hash: hash, Pieces: len(pieces), Accepted: at})
+		})
+		switch {
+		case err == nil:
+			c.log.Info("workflow accepted", "workflow", spec.ID, "class", spec.Class, "team", spec.Team, "pieces", len(pieces))
+			c.Stats.Add("workflows_accepted_total", 1)
+			return wire.WorkflowStatus{ID: spec.ID, Status: wire.Queued}, true, nil
+		case errors.Is(err, ledger.ErrTooLarge):
+			return st, false, errors.Join(ErrNeverRuns, err)
+		case !errors.Is(err, ledger.ErrStale):
+			return st, false, err
+		}
+	}
+	st, err = c.WorkflowStatus(ctx, spec.ID)
+	return st, false, err
+}
+
+// writePieces writes documents under their hash: writing them twice changes nothing.
+func (c *Core) writePieces(ctx context.Context, hash string, pieces []string) error {
+	n := 0
+	for part := range slices.Chunk(pieces, max(1, min(c.set.Cluster.State.TxnOps, 60<<10/c.set.ValueBytes()))) {
+		var t wire.Txn
+		for _, p := range part {
+			v, err := json.Marshal(p)
+			if err != nil {
+				return err
+			}
+			t.Then = append(t.Then, wire.Change{Put: ledger.DocumentKey(hash, n), Value: v})
+			n++
+		}
+		if _, err := c.store.Commit(ctx, t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WorkflowStatus tells a workflow's state, at least as new as the call. The controller that
+// drives it tells of its steps, too.
+func (c *Core) WorkflowStatus(ctx context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
+	if c.flows.store == nil {
+		return wire.WorkflowStatus{}, ErrNoWorkflows
+	}
+	if err := c.Fresh(ctx); err != nil {
+		return wire.WorkflowStatus{}, err
+	}
+	c.mu.Lock()
+	w := c.led.Workflow(id)
+	st := wire.WorkflowStatus{ID: id}
+	if w != nil {
+		st.Why = w.Why
+		if d := c.flows.driven[id]; d != nil {
+			st.Steps = d.steps
+		}
+	}
+	c.mu.Unlock()
+	if w == nil {
+		return st, ErrNoSuchJob
+	}
+	switch w.State {
+	case ledger.WorkflowActive:
+		st.Status = wire.Running
+	case ledger.WorkflowCancelled:
+		st.Status = wire.Cancelled
+	case ledger.WorkflowFailed:
+		st.Status = wire.Failed
+	case ledger.WorkflowDone:
+		st.Status = wire.Done
+	}
+	if st.Status == wire.Done || st.Status == wire.Failed {
+		if b, _, err := c.flows.store.Get(ctx, workflow.OutputsName(id)); err == nil && len(b) < 48<<10 {
+			st.Out = b
+		}
+	}
+	return st, nil
+}
+
+// CancelWorkflow cancels a workflow and tells its final state. Its steps' jobs are
+// cancelled by whoever drives it; none is submitted any more.
+func (c *Core) CancelWorkflow(ctx context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
+	return c.moveWorkflow(ctx, id, ledger.WorkflowCancelled)
+}
+
+// ResumeWorkflow lets a workflow that failed go on from the failure.
+func (c *Core) ResumeWorkflow(ctx context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
+	return c.moveWorkflow(ctx, id, ledger.WorkflowActive)
+}
+
+func (c *Core) moveWorkflow(ctx context.Context, id wire.WorkflowID, to ledger.WorkflowState) (wire.WorkflowStatus, error) {
+	if st, err := c.WorkflowStatus(ctx, id); err != nil {
+		return st, err
+	}
+	got, err := c.endWorkflow(ctx, id, to, "")
+	if err != nil {
+		return wire.WorkflowStatus{}, err
+	}
+	if to == ledger.WorkflowActive && got != to {
+		return wire.WorkflowStatus{}, ErrNotFailed
+	}
+	return c.WorkflowStatus(ctx, id)
+}
--- a/internal/cwl/expr.go
+++ b/internal/cwl/expr.go
@@ -490,3 +490,38 @@
 	}
 	return v
 }
+
+// Whole makes numbers of a value read from JSON whole where they are.
+func Whole(v any) any {
+	switch x := v.(type) {
+	case float64:
+		if x == math.Trunc(x) && math.Abs(x) < 1<<53 {
+			return int64(x)
+		}
+	case []any:
+		for i := range x {
+			x[i] = Whole(x[i])
+		}
+	case map[string]any:
+		for k := range x {
+			x[k] = Whole(x[k])
+		}
+	}
+	return v
+}
+
+// ToolAt finds the tool of a task by the task's id, as Run gives it.
+func (p *Process) ToolAt(id string) *Process {
+	if p.Class != "Workflow" {
+		return p
+	}
+	for _, part := range strings.Split(id, "/") {
+		name, _, _ := strings.Cut(part, "[")
+		s := p.Step(name)
+		if s == nil {
+			return nil
+		}
+		p = s.Run
+	}
+	return p
+}
--- a/internal/cwl/source.go
+++ b/internal/cwl/source.go
@@ -405,3 +405,36 @@
 	}
 	return id
 }
+
+// References lists the files that a document refers to by run, $import or $include, as
+// paths in its bundle, for clients that put a bundle together. What leads out of it, or
+// can't be read, is left out: Load tells of it.
+func References(file string, b []byte) []string {
+	n, err := parseYAML(file, b)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	left := mostNodes
+	var walk func(n *yaml.Node, depth int)
+	walk = func(n *yaml.Node, depth int) {
+		if left--; left < 0 || depth > mostNesting || n.Kind == yaml.AliasNode {
+			return
+		}
+		if n.Kind == yaml.MappingNode {
+			for _, e := range entries(n) {
+				k := e.key.Value
+				if (k == "run" || k == "$import" || k == "$include") && e.node.Kind == yaml.ScalarNode {
+					if name, _, err := resolve(file, e.node.Value); err == nil && name != file && !slices.Contains(out, name) {
+						out = append(out, name)
+					}
+				}
+			}
+		}
+		for _, c := range n.Content {
+			walk(c, depth+1)
+		}
+	}
+	walk(n, 0)
+	return out
+}
--- /dev/null
+++ b/internal/data/data.go
@@ -0,0 +1,173 @@
+// Package data keeps what steps of workflows pass to each other, by name: in files, not in
+// the state service. Each carries a checksum, which whoever reads it checks.
+package data
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sync"
+)
+
+// Errors of stores.
+var (
+	ErrNotFound = errors.New("data: there is none of that name")
+	ErrDamaged  = errors.New("data: damaged: its checksum does not fit")
+	ErrName     = errors.New("data: not a name: expected a relative path that stays where it is")
+)
+
+// Info tells of what is kept under a name.
+type Info struct {
+	Name string
+	Size int64  // bytes
+	Sum  string // SHA-256, in hex
+}
+
+// Store keeps contents by name. A name is a slash-separated relative path. Put replaces
+// the whole at once: readers see the old contents or the new.
+type Store interface {
+	Put(ctx context.Context, name string, r io.Reader) (Info, error)
+	Get(ctx context.Context, name string) ([]byte, Info, error)
+	Stat(ctx context.Context, name string) (Info, error)
+}
+
+// Mem is a Store in memory, for tests and for trying things out.
+type Mem struct {
+	mu    sync.Mutex
+	files map[string][]byte
+}
+
+// Put implements Store.
+func (m *Mem) Put(_ context.Context, name string, r io.Reader) (Info, error) {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return Info{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.files == nil {
+		m.files = map[string][]byte{}
+	}
+	m.files[name] = b
+	return m.info(name), nil
+}
+
+func (m *Mem) info(name string) Info {
+	sum := sha256.Sum256(m.files[name])
+	return Info{name, int64(len(m.files[name])), hex.EncodeToString(sum[:])}
+}
+
+// Get implements Store.
+func (m *Mem) Get(ctx context.Context, name string) ([]byte, Info, error) {
+	info, err := m.Stat(ctx, name)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return bytes.Clone(m.files[name]), info, err
+}
+
+// Stat implements Store.
+func (m *Mem) Stat(_ context.Context, name string) (Info, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.files[name]; !ok {
+		return Info{}, fmt.Errorf("%w: %s", ErrNotFound, name)
+	}
+	return m.info(name), nil
+}
+
+// Dir is a Store in a directory. A file is its contents and then their SHA-256.
+type Dir struct{ Root string }
+
+func (d Dir) path(name string) (string, error) {
+	if !filepath.IsLocal(filepath.FromSlash(name)) || name == "." {
+		return "", fmt.Errorf("%w: %q", ErrName, name)
+	}
+	return filepath.Join(d.Root, filepath.FromSlash(name)), nil
+}
+
+// Put implements Store.
+func (d Dir) Put(_ context.Context, name string, r io.Reader) (Info, error) {
+	path, err := d.path(name)
+	if err != nil {
+		return Info{}, err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return Info{}, err
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), ".put-*")
+	if err != nil {
+		return Info{}, err
+	}
+	defer os.Remove(f.Name())
+	sum := sha256.New()
+	n, err := io.Copy(io.MultiWriter(f, sum), r)
+	if err == nil {
+		_, err = f.Write(sum.Sum(nil))
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return Info{}, err
+	}
+	return Info{name, n, hex.EncodeToString(sum.Sum(nil))}, os.Rename(f.Name(), path)
+}
+
+// Get implements Store.
+func (d Dir) Get(_ context.Context, name string) ([]byte, Info, error) {
+	path, err := d.path(name)
+	if err != nil {
+		return nil, Info{}, err
+	}
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, Info{}, fmt.Errorf("%w: %s", ErrNotFound, name)
+	}
+	if err != nil {
+		return nil, Info{}, err
+	}
+	at := len(b) - sha256.Size
+	if at < 0 {
+		return nil, Info{}, fmt.Errorf("%w: %s", ErrDamaged, name)
+	}
+	sum := sha256.Sum256(b[:at])
+	if !bytes.Equal(sum[:], b[at:]) {
+		return nil, Info{}, fmt.Errorf("%w: %s", ErrDamaged, name)
+	}
+	return b[:at], Info{name, int64(at), hex.EncodeToString(sum[:])}, nil
+}
+
+// Stat implements Store. It does not read the contents.
+func (d Dir) Stat(_ context.Context, name string) (Info, error) {
+	path, err := d.path(name)
+	if err != nil {
+		return Info{}, err
+	}
+	f, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return Info{}, fmt.Errorf("%w: %s", ErrNotFound, name)
+	}
+	if err != nil {
+		return Info{}, err
+	}
+	defer f.Close()
+	st, err := f.Stat()
+	if err != nil {
+		return Info{}, err
+	}
+	sum := make([]byte, sha256.Size)
+	if st.Size() < sha256.Size {
+		return Info{}, fmt.Errorf("%w: %s", ErrDamaged, name)
+	}
+	if _, err := f.ReadAt(sum, st.Size()-sha256.Size); err != nil {
+		return Info{}, err
+	}
+	return Info{name, st.Size() - sha256.Size, hex.EncodeToString(sum)}, nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -176,6 +176,8 @@
 	members  map[wire.MemberID]json.RawMessage
 	flavors  map[wire.MachineSKU]wire.Flavor
 
+	workflows map[wire.WorkflowID]*Workflow
+
 	cancelled wire.Revision // of the newest cancellation, or later
 
 	hires     HiresRecord
@@ -200,7 +202,7 @@
 		teamVer: map[wire.Team]wire.Revision{}, marks: map[wire.MachineID]MachineMark{},
 		leaving: map[wire.MachineID]struct{}{}, touched: map[wire.MachineID]struct{}{},
 		markVer: map[wire.MachineID]wire.Revision{}, members: map[wire.MemberID]json.RawMessage{},
-		flavors: map[wire.MachineSKU]wire.Flavor{}}
+		flavors: map[wire.MachineSKU]wire.Flavor{}, workflows: map[wire.WorkflowID]*Workflow{}}
 }
 
 // Revision is how far the ledger has caught up.
@@ -300,6 +302,9 @@
 	if ok {
 		return l.applyJob(wire.JobID(rest), e)
 	}
+	if rest, ok = strings.CutPrefix(e.Key, workflowPrefix); ok {
+		return l.applyWorkflow(wire.WorkflowID(rest), e)
+	}
 	if rest, ok = strings.CutPrefix(e.Key, chunkPrefix); ok {
 		id, n, ok := splitChunkKey(rest)
 		if !ok {
--- /dev/null
+++ b/internal/ledger/workflows.go
@@ -0,0 +1,130 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"maddermill/wire"
+)
+
+const workflowPrefix = Prefix + "w/"
+
+func workflowKey(id wire.WorkflowID) string { return workflowPrefix + string(id) }
+
+// DocumentKey is where the n-th piece of a workflow's documents is kept, by their hash. It
+// is not among the keys that controllers mirror.
+func DocumentKey(hash string, n int) string {
+	return "mmd1/" + hash + "/" + string(rune('a'+n/26)) + string(rune('a'+n%26))
+}
+
+// WorkflowState is a workflow's durable state.
+type WorkflowState string
+
+// The durable states of workflows. One that failed may be resumed, which makes it active
+// again; done and cancelled are for ever.
+const (
+	WorkflowActive    WorkflowState = ""
+	WorkflowFailed    WorkflowState = "failed"
+	WorkflowDone      WorkflowState = "done"
+	WorkflowCancelled WorkflowState = "cancelled"
+)
+
+// WorkflowRecord is the durable part of a workflow. Which of its steps are done follows
+// from the steps' jobs, whose ids follow from the workflow's and the step's.
+type WorkflowRecord struct {
+	Spec     *wire.WorkflowSpec `json:"spec"` // without documents and inputs
+	Hash     string             `json:"doc"`  // of documents and inputs
+	Pieces   int                `json:"n"`    // that they are kept in
+	Accepted wire.UnixMillis    `json:"at"`
+	State    WorkflowState      `json:"state,omitempty"`
+	Why      string             `json:"why,omitempty"`
+	Resumed  int                `json:"resumed,omitempty"` // times
+	Swept    bool               `json:"swept,omitempty"`   // cancelled, and none of its steps' jobs is active
+}
+
+// Workflow is a workflow as last seen.
+type Workflow struct {
+	ID      wire.WorkflowID
+	Version wire.Revision
+	WorkflowRecord
+}
+
+// Workflow returns a workflow, or nil.
+func (l *Ledger) Workflow(id wire.WorkflowID) *Workflow { return l.workflows[id] }
+
+// Workflows calls f for every workflow.
+func (l *Ledger) Workflows(f func(*Workflow)) {
+	for _, w := range l.workflows {
+		f(w)
+	}
+}
+
+func (l *Ledger) applyWorkflow(id wire.WorkflowID, e Event) error {
+	if old := l.workflows[id]; e.Value == nil || old != nil && e.Version <= old.Version {
+		return nil
+	}
+	w := &Workflow{ID: id, Version: e.Version}
+	if err := json.Unmarshal(e.Value, &w.WorkflowRecord); err != nil {
+		return err
+	}
+	if w.State == WorkflowCancelled {
+		// Like a job's: whoever answers workers must know of it.
+		l.cancelled = max(l.cancelled, e.Version)
+	}
+	l.workflows[id] = w
+	return nil
+}
+
+// SubmitWorkflow accepts a workflow that isn't known yet. Its documents are written before.
+func (d *Draft) SubmitWorkflow(id wire.WorkflowID, r WorkflowRecord) error {
+	if d.l.workflows[id] != nil {
+		return ErrStale
+	}
+	return d.try(func() error {
+		d.conds[workflowKey(id)] = 0
+		d.put(workflowKey(id), r)
+		return nil
+	})
+}
+
+// EndWorkflow moves a workflow to a state, or leaves it in the final one that it is in: the
+// answer tells. Only one that failed becomes active again.
+func (d *Draft) EndWorkflow(w *Workflow, to WorkflowState, why string) (WorkflowState, error) {
+	final := w.State == WorkflowDone || w.State == WorkflowCancelled
+	if final || w.State == to || to == WorkflowActive && w.State != WorkflowFailed || to != WorkflowCancelled && to != WorkflowActive && w.State != WorkflowActive {
+		return w.State, nil
+	}
+	r := w.WorkflowRecord
+	r.State, r.Why = to, why
+	if to == WorkflowActive {
+		r.Resumed++
+	}
+	return to, d.try(func() error {
+		d.conds[workflowKey(w.ID)] = w.Version
+		d.put(workflowKey(w.ID), r)
+		return nil
+	})
+}
+
+// SweepWorkflow notes that no job of a cancelled workflow is active any more.
+func (d *Draft) SweepWorkflow(w *Workflow) error {
+	if w.State != WorkflowCancelled || w.Swept {
+		return ErrStale
+	}
+	r := w.WorkflowRecord
+	r.Swept = true
+	return d.try(func() error {
+		d.conds[workflowKey(w.ID)] = w.Version
+		d.put(workflowKey(w.ID), r)
+		return nil
+	})
+}
+
+// Under conditions what is drafted on a workflow's being active: a step must not be
+// submitted after its workflow's cancellation was told, however late the transaction lands.
+func (d *Draft) Under(w *Workflow) error {
+	if w.State != WorkflowActive {
+		return ErrStale
+	}
+	d.conds[workflowKey(w.ID)] = w.Version
+	return nil
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,6 +22,8 @@
 	CancelS time.Duration
 	Broken  []string
 	Starts  int
+
+	Finished func(wire.TaskID) // called before a task is reported as done, if given
 }
 
 // mate is a gang's task as its mates see it.
@@ -282,6 +284,9 @@
 		}
 	}
 	if r.state == wire.TaskRunning && now.After(r.until) {
+		if w.Finished != nil {
+			w.Finished(t)
+		}
 		r.state, r.cause = wire.TaskExited, wire.CauseDone
 		m.World.done[t] = true
 		m.World.leave(t)
