--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"maddermill/internal/data"
 	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
 	"maddermill/internal/settings"
@@ -94,6 +95,8 @@
 	tree *topology.Tree                     // declared to all controllers, if given
 	told func(msg string, a map[string]any) // what controllers log, if given
 	dead func(*standin.Machine) bool        // machines that are out of reach, if given
+	data data.Store                         // switches workflows on, if given
+	also func(context.Context)              // started with the jobs, if given
 }
 
 func (h *history) chance(n int) int {
@@ -137,6 +140,9 @@
 	if h.calm {
 		c.set.Operators.IdleBoots = 1000
 	}
+	if h.data != nil {
+		c.SetWorkflows(h.data)
+	}
 	if h.tree != nil {
 		c.SetTopology(h.tree)
 	}
@@ -475,6 +481,9 @@
 	ctx, cancel := context.WithCancel(h.t.Context())
 	defer cancel()
 	h.begin(ctx, 4, lossy)
+	if h.also != nil {
+		h.also(ctx)
+	}
 	for i := range jobs {
 		spec := h.spec(i)
 		after := time.Duration(h.chance(int(d/time.Second)*2/3)) * time.Second
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -57,6 +57,13 @@
 	w.mu.Unlock()
 }
 
+// Known reports whether a job's description was uploaded.
+func (w *World) Known(job wire.JobID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.specs[job] != nil
+}
+
 func (w *World) broke(rule string) { w.Broken = append(w.Broken, rule) }
 
 // Told notes what a user was told of a job and checks it.
