A cancelled workflow's steps are stopped before their jobs' own records say so

Cause: between a workflow's cancellation and those of its steps' jobs an outage could keep tasks running past cancel_s, since workers are answered on as long as no told cancellation is missed. Now the record of a step's job names its workflow, and every mirror that holds the cancellation starts none of its tasks and tells workers to stop them.

--- a/internal/controller/workflow_test.go
+++ b/internal/controller/workflow_test.go
@@ -248,12 +248,13 @@
 	}
 	step := func(n int) func(d *ledger.Draft) error {
 		return func(d *ledger.Draft) error {
-			if err := d.Under(led.Workflow(spec.ID)); err != nil {
-				return err
-			}
-			return d.Submit(&wire.JobSpec{ID: workflow.JobOf(spec.ID, fmt.Sprint("s", n), 0), Team: "free", Shape: wire.Array, Priority: wire.Normal, Tasks: 1, CPUs: 1}, 1)
+			return d.SubmitStep(led.Workflow(spec.ID), &wire.JobSpec{ID: workflow.JobOf(spec.ID, fmt.Sprint("s", n), 0), Team: "free", Shape: wire.Array, Priority: wire.Normal, Tasks: 1, CPUs: 1}, 1)
 		}
 	}
+	early, err := commit(step(0))
+	if err = errors.Join(err, land(early)); err != nil {
+		t.Fatal(err)
+	}
 	late, err := commit(step(1))
 	if err != nil {
 		t.Fatal(err)
@@ -265,6 +266,9 @@
 	if err = errors.Join(err, land(cancel)); err != nil {
 		t.Fatal(err)
 	}
+	if j := led.Job(workflow.JobOf(spec.ID, "s0", 0)); j.State != ledger.Active || j.Pending() > 0 {
+		t.Errorf("a step of a cancelled workflow has %d tasks to start", j.Pending())
+	}
 	if err := land(late); err == nil {
 		t.Error("a step lands after its workflow's cancellation")
 	}
--- a/internal/controller/workflows.go
+++ b/internal/controller/workflows.go
@@ -221,10 +221,7 @@
 		if w == nil {
 			return ledger.ErrStale
 		}
-		if err := d.Under(w); err != nil {
-			return err
-		}
-		return d.Submit(spec, at)
+		return d.SubmitStep(w, spec, at)
 	})
 	switch {
 	case err == nil:
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -115,7 +115,7 @@
 
 // MarshalJSON writes the job's record.
 func (w *draftJob) MarshalJSON() ([]byte, error) {
-	return json.Marshal(jobRecord{Spec: w.spec, Accepted: w.at, State: w.state, Stop: w.stop, Range: w.size, chunkRecord: *w.chunk(0)})
+	return json.Marshal(jobRecord{Spec: w.spec, Accepted: w.at, State: w.state, Stop: w.stop, Range: w.size, Of: w.job.Of, chunkRecord: *w.chunk(0)})
 }
 
 // try runs a change and undoes it when the transaction would grow too large.
@@ -214,7 +214,9 @@
 }
 
 // Submit accepts a job that isn't known yet.
-func (d *Draft) Submit(spec *wire.JobSpec, at wire.UnixMillis) error {
+func (d *Draft) Submit(spec *wire.JobSpec, at wire.UnixMillis) error { return d.submit(spec, at, "") }
+
+func (d *Draft) submit(spec *wire.JobSpec, at wire.UnixMillis, of wire.WorkflowID) error {
 	if d.l.jobs[spec.ID] != nil {
 		return ErrStale
 	}
@@ -222,7 +224,7 @@
 		if spec.Shape == wire.Gang && spec.Tasks > (d.l.limits.TxnOps-1)*d.l.limits.ChunkTasks() {
 			return fmt.Errorf("%w: a gang starts in one transaction", ErrTooLarge)
 		}
-		j := &Job{ID: spec.ID, Spec: spec, Accepted: at, chunkTasks: d.l.rangeFor(spec)}
+		j := &Job{ID: spec.ID, Spec: spec, Accepted: at, Of: of, chunkTasks: d.l.rangeFor(spec)}
 		long := j.chunkTasks > 0
 		if !long {
 			j.chunkTasks = d.l.limits.ChunkTasks()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -92,8 +92,10 @@
 	Accepted wire.UnixMillis
 	State    JobState
 	Stop     wire.Attempt
-	Done     int // tasks done
-	Claimed  int // tasks claimed
+	Done     int             // tasks done
+	Claimed  int             // tasks claimed
+	Of       wire.WorkflowID // the workflow that it is a step of, "" if none
+	Doomed   bool            // that workflow is cancelled: the job will be, too
 	chunks   map[int]*Chunk
 
 	chunkTasks int
@@ -101,7 +103,7 @@
 
 // Pending is the number of tasks that are neither done nor claimed.
 func (j *Job) Pending() int {
-	if j.State != Active {
+	if j.State != Active || j.Doomed {
 		return 0
 	}
 	return j.Spec.Tasks - j.Done - j.Claimed
@@ -392,7 +394,10 @@
 	}
 	if j == nil {
 		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{}, chunkTasks: cmp.Or(r.Range, l.limits.ChunkTasks()),
-			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB)}
+			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB), Of: r.Of}
+		if w := l.workflows[r.Of]; w != nil && w.State == WorkflowCancelled {
+			j.Doomed = true
+		}
 		l.jobs[id] = j
 	}
 	if r.State == Cancelled && j.State != Cancelled {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -199,6 +199,7 @@
 	State    JobState        `json:"state,omitempty"`
 	Stop     wire.Attempt    `json:"stop,omitempty"`  // gangs up to this attempt are to stop
 	Range    int             `json:"range,omitempty"` // tasks a record; 0: as many as may each have a claim
+	Of       wire.WorkflowID `json:"of,omitempty"`    // the workflow that it is a step of
 	chunkRecord
 }
 
--- a/internal/ledger/workflows.go
+++ b/internal/ledger/workflows.go
@@ -67,8 +67,12 @@
 		return err
 	}
 	if w.State == WorkflowCancelled {
-		// Like a job's: whoever answers workers must know of it.
+		// Like a job's: whoever answers workers must know of it, and from now on no task of
+		// its steps starts and all are told to stop, before their jobs' own records say so.
 		l.cancelled = max(l.cancelled, e.Version)
+		for _, j := range l.active {
+			j.Doomed = j.Doomed || j.Of == id
+		}
 	}
 	l.workflows[id] = w
 	return nil
@@ -119,12 +123,13 @@
 	})
 }
 
-// Under conditions what is drafted on a workflow's being active: a step must not be
-// submitted after its workflow's cancellation was told, however late the transaction lands.
-func (d *Draft) Under(w *Workflow) error {
+// SubmitStep accepts a job that isn't known yet as a step of a workflow, on the condition
+// that the workflow is active: a step must not be submitted after its workflow's
+// cancellation was told, however late the transaction lands.
+func (d *Draft) SubmitStep(w *Workflow, spec *wire.JobSpec, at wire.UnixMillis) error {
 	if w.State != WorkflowActive {
 		return ErrStale
 	}
 	d.conds[workflowKey(w.ID)] = w.Version
-	return nil
+	return d.submit(spec, at, w.ID)
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -167,7 +167,7 @@
 
 // wanted reports whether a claim's tasks should be on the machine.
 func (w *Worker) wanted(h ledger.Held) bool {
-	return h.Job.State == ledger.Active && (h.Job.Spec.Shape != wire.Gang || h.Job.Stop < h.Attempt)
+	return h.Job.State == ledger.Active && !h.Job.Doomed && (h.Job.Spec.Shape != wire.Gang || h.Job.Stop < h.Attempt)
 }
 
 // Stop marks a claim's tasks to be told to leave, saving first if they can.
@@ -215,7 +215,7 @@
 			if w.Fresh {
 				cmds = append(cmds, stop(t, 0))
 			}
-		case h.Job.State == ledger.Cancelled:
+		case h.Job.State == ledger.Cancelled || h.Job.Doomed:
 			cmds = append(cmds, stop(t, 0)) // what it does is of no use to anyone
 		case !w.wanted(h) || w.stop[id] || !w.Recall.IsZero():
 			cmds = append(cmds, stop(t, h.Job.Spec.Save+1))
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -102,7 +102,8 @@
 	defaultWindow = 32
 	mostRetries   = 3 // of a step that says that another try may help
 	firstRetry    = 2 * time.Second
-	missingResult = 30 * time.Second // after its job is done, until a step has failed for want of a result
+	mostLook      = 300 * time.Millisecond // of a pass; a large workflow is taken over in several
+	missingResult = 30 * time.Second       // after its job is done, until a step has failed for want of a result
 )
 
 // Run is one workflow, driven by this controller.
@@ -186,7 +187,8 @@
 // ready, and ends the workflow when nothing is left. It returns how many it submitted, and
 // whether the workflow is over. An error is of this pass only: the next goes on.
 func (r *Run) Step(ctx context.Context, now time.Time, most int) (submitted int, over bool, err error) {
-	for again := true; again && ctx.Err() == nil; {
+	began := time.Now()
+	for again := true; again && ctx.Err() == nil && time.Since(began) < mostLook; {
 		again = false
 		for _, id := range slices.Clone(r.order) {
 			moved, e := r.look(ctx, r.out[id], now)
