--- a/internal/api/workflows.go
+++ b/internal/api/workflows.go
@@ -61,7 +61,7 @@
 		return problem(400, err.Error())
 	}
 	if _, err := workflow.Check(ctx, spec); err != nil {
-		return problem(400, err.Error()) // all that is wrong, a line each
+		return problem(400, wrong(err))
 	}
 	st, created, err := s.Service.SubmitWorkflow(ctx, spec)
 	if err != nil {
@@ -73,8 +73,20 @@
 	return reply(200, st)
 }
 
+// mostWrong bounds what is told of a document: no line of an answer may be very long.
+const mostWrong = 32 << 10
+
+// wrong is all that is wrong, a line each.
+func wrong(err error) string {
+	text := err.Error()
+	if len(text) > mostWrong {
+		text = strings.ToValidUTF8(text[:mostWrong], "") + "\n… and more"
+	}
+	return text
+}
+
 func (s *Server) workflowFailure(err error) *http1.Response {
-	var wrong cwl.Problems
+	var problems cwl.Problems
 	switch {
 	case errors.Is(err, controller.ErrNoWorkflows):
 		return problem(404, err.Error())
@@ -82,8 +94,8 @@
 		return problem(409, err.Error())
 	case errors.Is(err, controller.ErrNoSuchJob):
 		return problem(404, "no such workflow")
-	case errors.As(err, &wrong):
-		return problem(400, err.Error())
+	case errors.As(err, &problems):
+		return problem(400, wrong(err))
 	}
 	return s.failure("", err)
 }
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -331,26 +331,51 @@
 	}
 }
 
+// askAny asks any controller, again and again, until one answers.
+func askAny[T any](ctx context.Context, h *history, about string, f func(context.Context, *Core) (T, error)) (answer T, ok bool) {
+	for ctx.Err() == nil {
+		if c := h.core(h.chance(3)); c != nil {
+			one, cancel := context.WithTimeout(ctx, 4*time.Second)
+			got, err := f(one, c)
+			cancel()
+			if err == nil {
+				return got, true
+			}
+			if errors.Is(err, ErrNoSuchJob) {
+				h.t.Errorf("seed %d: forgotten %s", h.seed, about)
+			}
+		}
+		sleep(ctx, time.Second)
+	}
+	return answer, false
+}
+
+// runSteps switches workflows on, has machines know the jobs that controllers submit, and
+// pretends to run steps before their tasks are done.
+func (h *history) runSteps(then func(wire.JobID)) {
+	h.data = new(data.Mem)
+	h.store.Seen = func(c wire.Change) {
+		if spec, ok := standin.Spec(c); ok {
+			h.world.Upload(spec)
+		}
+	}
+	h.world.Finished = func(id wire.TaskID) {
+		if err := standin.RunStep(context.Background(), h.data, id.Job); err != nil {
+			h.t.Error(err)
+		}
+		then(id.Job)
+	}
+}
+
 // user submits a job, polls it and perhaps cancels it.
 func (h *history) user(ctx context.Context, spec *wire.JobSpec, cancelAfter time.Duration, finished *int) {
 	h.world.Upload(spec)
 	ask := func(f func(context.Context, *Core) (wire.JobStatus, error)) (wire.JobStatus, bool) {
-		for ctx.Err() == nil {
-			if c := h.core(h.chance(3)); c != nil {
-				one, cancel := context.WithTimeout(ctx, 4*time.Second)
-				st, err := f(one, c)
-				cancel()
-				if err == nil {
-					h.world.Told(spec.ID, st.Status)
-					return st, true
-				}
-				if errors.Is(err, ErrNoSuchJob) {
-					h.t.Errorf("seed %d: forgotten %s", h.seed, spec.ID)
-				}
-			}
-			sleep(ctx, time.Second)
+		st, ok := askAny(ctx, h, string(spec.ID), f)
+		if ok {
+			h.world.Told(spec.ID, st.Status)
 		}
-		return wire.JobStatus{}, false
+		return st, ok
 	}
 	if _, ok := ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) {
 		st, _, err := c.Submit(ctx, spec)
--- a/internal/controller/steps_test.go
+++ b/internal/controller/steps_test.go
@@ -13,7 +13,6 @@
 
 	"maddermill/internal/data"
 	"maddermill/internal/ledger"
-	"maddermill/internal/standin"
 	"maddermill/internal/workflow"
 	"maddermill/wire"
 )
@@ -30,21 +29,13 @@
 func newBeside(t *testing.T, ctx context.Context, machines int) *beside {
 	h := newHistory(t, 3)
 	b := &beside{history: h, ctx: ctx, done: map[wire.JobID]time.Time{}}
-	h.quiet, h.calm, h.data, h.cloud.Most = true, true, new(data.Mem), machines
+	h.quiet, h.calm, h.cloud.Most = true, true, machines
 	h.cloud.Run = func(wire.TaskID) time.Duration { return 10 * time.Second }
-	h.store.Seen = func(c wire.Change) {
-		if spec, ok := standin.Spec(c); ok {
-			h.world.Upload(spec)
-		}
-	}
-	h.world.Finished = func(id wire.TaskID) {
-		if err := standin.RunStep(context.Background(), h.data, id.Job); err != nil {
-			t.Error(err)
-		}
+	h.runSteps(func(id wire.JobID) {
 		b.mu.Lock()
-		b.done[id.Job] = time.Now()
-		b.mu.Unlock()
-	}
+		defer b.mu.Unlock()
+		b.done[id] = time.Now()
+	})
 	h.begin(ctx, machines, 0)
 	sleep(ctx, 12*time.Second)
 	return b
@@ -83,7 +74,7 @@
 	list := make([]int, n)
 	in, _ := json.Marshal(map[string]any{"x": list})
 	spec := &wire.WorkflowSpec{ID: id, Class: "c", Team: team, Priority: priority, Spot: true, Window: wire.MaxWindow, Entry: "main.cwl", Bundle: map[string]string{"main.cwl": doc}, Inputs: in}
-	b.askFlow(b.ctx, func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) {
+	askAny(b.ctx, b.history, string(id), func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) {
 		st, _, err := c.SubmitWorkflow(ctx, spec)
 		return st, err
 	})
--- a/internal/controller/workflow_test.go
+++ b/internal/controller/workflow_test.go
@@ -90,25 +90,6 @@
 	}
 }
 
-// askFlow asks any controller until one answers.
-func (h *history) askFlow(ctx context.Context, f func(context.Context, *Core) (wire.WorkflowStatus, error)) (wire.WorkflowStatus, bool) {
-	for ctx.Err() == nil {
-		if c := h.core(h.chance(3)); c != nil {
-			one, cancel := context.WithTimeout(ctx, 4*time.Second)
-			st, err := f(one, c)
-			cancel()
-			if err == nil {
-				return st, true
-			}
-			if errors.Is(err, ErrNoSuchJob) {
-				h.t.Errorf("seed %d: a workflow is forgotten", h.seed)
-			}
-		}
-		sleep(ctx, time.Second)
-	}
-	return wire.WorkflowStatus{}, false
-}
-
 // TestWorkflowHistories: workflows of all kinds among users' jobs, with crashes, lost and late
 // messages, outages and lost machines. They end as the plain interpreter says, no step's task
 // runs twice, a final state is never taken back, and a cancelled one is gone in time.
@@ -122,17 +103,7 @@
 
 func playWorkflows(t *testing.T, seed uint64) {
 	h := newHistory(t, seed)
-	h.data = new(data.Mem)
-	h.store.Seen = func(c wire.Change) {
-		if spec, ok := standin.Spec(c); ok {
-			h.world.Upload(spec)
-		}
-	}
-	h.world.Finished = func(id wire.TaskID) {
-		if err := standin.RunStep(context.Background(), h.data, id.Job); err != nil {
-			t.Error(err)
-		}
-	}
+	h.runSteps(func(wire.JobID) {})
 	h.cloud.Run = func(wire.TaskID) time.Duration { return 8 * time.Second }
 	ended := 0
 	h.also = func(ctx context.Context) {
@@ -165,7 +136,7 @@
 	}
 	in, _ := json.Marshal(values)
 	spec := &wire.WorkflowSpec{ID: id, Class: "c", Team: "free", Priority: wire.High, Spot: true, Entry: "main.cwl", Bundle: map[string]string{"main.cwl": workflowHead + doc}, Inputs: in}
-	if _, ok := h.askFlow(ctx, func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) {
+	if _, ok := askAny(ctx, h, string(id), func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) {
 		st, _, err := c.SubmitWorkflow(ctx, spec)
 		return st, err
 	}); !ok {
@@ -175,7 +146,7 @@
 	final := map[ledger.WorkflowState]wire.Status{ledger.WorkflowDone: wire.Done, ledger.WorkflowFailed: wire.Failed}[want]
 	for ctx.Err() == nil {
 		sleep(ctx, 3*time.Second)
-		st, ok := h.askFlow(ctx, status)
+		st, ok := askAny(ctx, h, string(id), status)
 		if !ok || st.Status == wire.Running {
 			continue
 		}
@@ -184,7 +155,7 @@
 			h.t.Errorf("seed %d: %s is %s with %s (%s), want %s with %v", h.seed, id, st.Status, st.Out, st.Why, final, sequential(h.t, doc, inputs))
 		}
 		sleep(ctx, 20*time.Second)
-		if again, ok := h.askFlow(ctx, status); ok && again.Status != st.Status {
+		if again, ok := askAny(ctx, h, string(id), status); ok && again.Status != st.Status {
 			h.t.Errorf("seed %d: %s went back from %s to %s", h.seed, id, st.Status, again.Status)
 		}
 		return true
@@ -197,12 +168,12 @@
 func (h *history) cancelledFlow(ctx context.Context, id wire.WorkflowID) {
 	spec := &wire.WorkflowSpec{ID: id, Class: "c", Team: "free", Priority: wire.Normal, Spot: true, Entry: "main.cwl",
 		Bundle: map[string]string{"main.cwl": workflowHead + flowCases[2].doc}, Inputs: json.RawMessage(`{"x":["1","2","3","4","5","6","7","8","9"]}`)}
-	h.askFlow(ctx, func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) {
+	askAny(ctx, h, string(id), func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) {
 		st, _, err := c.SubmitWorkflow(ctx, spec)
 		return st, err
 	})
 	sleep(ctx, 12*time.Second)
-	st, ok := h.askFlow(ctx, func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) { return c.CancelWorkflow(ctx, id) })
+	st, ok := askAny(ctx, h, string(id), func(ctx context.Context, c *Core) (wire.WorkflowStatus, error) { return c.CancelWorkflow(ctx, id) })
 	if !ok || st.Status != wire.Cancelled {
 		return // it was done before, or the history ended
 	}
--- a/internal/cwl/expr.go
+++ b/internal/cwl/expr.go
@@ -465,35 +465,18 @@
 	if err := d.Decode(&v); err != nil {
 		return nil, err
 	}
-	return numbers(v), nil
+	return Whole(v), nil
 }
 
-func numbers(v any) any {
+// Whole makes numbers of a value read from JSON whole where they are.
+func Whole(v any) any {
 	switch x := v.(type) {
 	case json.Number:
 		if i, err := x.Int64(); err == nil {
 			return i
 		}
 		f, _ := x.Float64()
-		if f == math.Trunc(f) && math.Abs(f) < 1<<53 {
-			return int64(f)
-		}
-		return f
-	case []any:
-		for i := range x {
-			x[i] = numbers(x[i])
-		}
-	case map[string]any:
-		for k := range x {
-			x[k] = numbers(x[k])
-		}
-	}
-	return v
-}
-
-// Whole makes numbers of a value read from JSON whole where they are.
-func Whole(v any) any {
-	switch x := v.(type) {
+		return Whole(f)
 	case float64:
 		if x == math.Trunc(x) && math.Abs(x) < 1<<53 {
 			return int64(x)
