--- a/internal/place/close_test.go
+++ b/internal/place/close_test.go
@@ -200,3 +200,35 @@
 		}
 	}
 }
+
+// TestRoomIsMadeClose: where room for a gang must be made, it is made where the gang sits
+// closest among machines that cost no more to empty than those chosen without a topology.
+func TestRoomIsMadeClose(t *testing.T) {
+	tree, blocks := racks(t, "")
+	l := ledger.New(ledger.Limits{ValueBytes: 32 << 10, TxnOps: 40, TxnBytes: 64 << 10})
+	v := hall(tree, l, blocks, rand.New(rand.NewPCG(1, 1)), 0)
+	low := gangSpec(9, 1)
+	low.Shape, low.Priority, low.Checkpoint, low.Save = wire.Array, wire.Low, 5, 1
+	lower := submit(t, l, low)
+	for i, m := range v.Machines {
+		m.Free = ledger.Resources{}
+		if i%3 != 0 && i/8 != 5 {
+			m.Usable = false // but for one rack that is whole, a third of the machines can be emptied
+		}
+	}
+	v.Victims = func(m *place.Machine) []place.Victim {
+		return []place.Victim{{Held: ledger.Held{Job: lower, Claim: ledger.Claim{Count: 2, Machine: m.ID}}, Saves: true}}
+	}
+	v.Queue = []place.Entry{{Job: submit(t, l, gangSpec(1, 16))}}
+	list := place.MakeRoom(v)
+	tasks := 0
+	for _, x := range list {
+		tasks += x.Tasks
+		if x.Machine.Block != blocks[5] {
+			t.Errorf("room is made on %s, apart from the rest", x.Machine.ID)
+		}
+	}
+	if tasks != 16 {
+		t.Errorf("room for %d of 16 tasks", tasks)
+	}
+}
