--- a/cmd/maddermill/cwl.go
+++ b/cmd/maddermill/cwl.go
@@ -90,8 +90,10 @@
 	f.IntVar(&spec.Window, "window", 0, "steps submitted at once; 0: the service's default")
 	f.Float64Var(&expect, "expect", 0, "a step's expected run time in `SECONDS`")
 	_ = submit.MarkFlagRequired("team")
+	var lines bool
 	watch := &cobra.Command{Use: "watch ID", Short: "Follow a workflow until it is over; the exit status tells how it ended", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error { return follow(cmd, args[0], ask) }}
+		RunE: func(cmd *cobra.Command, args []string) error { return follow(cmd, args[0], lines, ask) }}
+	watch.Flags().BoolVar(&lines, "json", false, "print each change as a JSON object on a line")
 	cmd.AddCommand(
 		&cobra.Command{Use: "validate FILE [INPUTS]", Short: "Check a document, and inputs for it, and name all that is wrong", Args: cobra.RangeArgs(1, 2),
 			RunE: func(cmd *cobra.Command, args []string) error {
@@ -176,7 +178,7 @@
 
 // follow prints a workflow's progress as it changes: on a terminal in place, elsewhere a
 // line each time.
-func follow(cmd *cobra.Command, id string, ask func(*cobra.Command, string, string, []byte) (*wire.WorkflowStatus, error)) error {
+func follow(cmd *cobra.Command, id string, lines bool, ask func(*cobra.Command, string, string, []byte) (*wire.WorkflowStatus, error)) error {
 	ctx := cmd.Context()
 	if ctx == nil {
 		ctx = context.Background()
@@ -191,8 +193,15 @@
 			return err
 		}
 		line := progress(st)
+		if lines {
+			b, err := json.Marshal(st)
+			if err != nil {
+				return err
+			}
+			line = string(b)
+		}
 		if line != last {
-			if terminal {
+			if terminal && !lines {
 				fmt.Fprintf(out, "\r\x1b[K%s", line)
 			} else {
 				fmt.Fprintln(out, line)
@@ -201,10 +210,10 @@
 		}
 		switch st.Status {
 		case wire.Done, wire.Failed, wire.Cancelled:
-			if terminal {
+			if terminal && !lines {
 				fmt.Fprintln(out)
 			}
-			if len(st.Out) > 0 {
+			if len(st.Out) > 0 && !lines {
 				fmt.Fprintf(out, "%s\n", st.Out)
 			}
 			if st.Status != wire.Done {
@@ -227,6 +236,9 @@
 		if s.Total > 1 {
 			text += fmt.Sprintf(" %d/%d", s.Over, s.Total)
 		}
+		if s.Why != "" {
+			text += " (" + s.Why + ")"
+		}
 		parts = append(parts, text)
 	}
 	return strings.Join(parts, "  ")
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -44,6 +44,8 @@
 	users atomic.Int64
 	busy  atomic.Int64
 	polls atomic.Int64
+
+	streams atomic.Int64 // of events
 }
 
 // Waits of connections and requests.
@@ -88,6 +90,9 @@
 				return
 			}
 		}
+		if s.events(ctx, c, q) {
+			return
+		}
 		p := s.answer(ctx, q)
 		p.Close = p.Close || q.Close
 		if s.write(c, p) != nil || p.Close {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -118,6 +118,18 @@
 		{"POST", "/v1/report", `{"millstone":7}`, 400},
 		{"GET", "/metrics", "", 200},
 		{"GET", "/nothing", "", 404},
+		{"GET", "/api/topology", "", 200},
+		{"POST", "/api/topology", "", 405},
+		{"POST", "/api/workflows", `{"id":"wf-000001","owner":"t","bundle":{"main.cwl":"{cwlVersion: v1.2, class: Workflow, inputs: [], outputs: [], steps: []}"}}`, 201},
+		{"POST", "/api/workflows", `{"id":"wf-000001","owner":"t","bundle":{"main.cwl":"{class: Workflow}"}}`, 400},
+		{"POST", "/api/workflows", `{"id":"wk-000001"}`, 400},
+		{"GET", "/api/workflows", "", 405},
+		{"GET", "/api/workflows/wf-000001", "", 200},
+		{"GET", "/api/workflows/wf-000002", "", 404},
+		{"GET", "/api/workflows/wf-2/events", "", 404},
+		{"POST", "/api/workflows/wf-000001/cancel", "", 200},
+		{"POST", "/api/workflows/wf-000001/resume", "", 409},
+		{"POST", "/api/workflows/wf-000001/stop", "", 404},
 	} {
 		p, err := client.Do(ctx, &http1.Request{Method: tc.method, Path: tc.path, Body: []byte(tc.body)})
 		if err != nil || p.Status != tc.status {
@@ -127,6 +139,17 @@
 			t.Errorf("%s %s: no Retry-After", tc.method, tc.path)
 		}
 	}
+	// A stream of events ends, and its connection with it, once the workflow is final.
+	stream, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(stream, "GET /api/workflows/wf-000001/events HTTP/1.1\r\nhost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(stream); err != nil || !strings.HasPrefix(string(b), "HTTP/1.1 200") || !strings.HasSuffix(string(b), `{"id":"wf-000001","status":"done"}`+"\n") {
+		t.Errorf("the stream is %q, %v", b, err)
+	}
 	// However many polls are under way, further ones are put off at once and submissions
 	// keep their part.
 	polls := make(chan int, 8)
--- a/internal/api/workflows.go
+++ b/internal/api/workflows.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
+	"time"
 
 	"maddermill/internal/controller"
 	"maddermill/internal/cwl"
 	"maddermill/internal/http1"
+	"maddermill/internal/transport"
 	"maddermill/internal/workflow"
 	"maddermill/wire"
 )
@@ -73,6 +76,72 @@
 	return reply(200, st)
 }
 
+// Bounds of streams of events.
+const (
+	streamFor   = 10 * time.Minute // then the client asks again
+	streamEvery = time.Second
+)
+
+// events streams a workflow's status, a JSON object a line whenever it changes, until it is
+// final, the stream's time is over or the client is gone. It tells whether the path is that of
+// a stream; the connection is used up by it.
+func (s *Server) events(ctx context.Context, c *transport.Conn, q *http1.Request) bool {
+	rest, ok := strings.CutPrefix(q.Path, "/api/workflows/")
+	id, ok2 := strings.CutSuffix(rest, "/events")
+	if !ok || !ok2 || q.Method != "GET" || !wire.WorkflowID(id).Valid() {
+		return false
+	}
+	defer s.streams.Add(-1)
+	if s.streams.Add(1) > int64(max(1, s.MaxBusy/4)) {
+		p := s.shed("stream")
+		p.Close = true
+		_ = s.write(c, p)
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, streamFor)
+	defer cancel()
+	tick := time.NewTicker(streamEvery)
+	defer tick.Stop()
+	began, last := false, ""
+	for {
+		one, done := context.WithTimeout(ctx, pollWait)
+		st, err := s.Service.WorkflowStatus(one, wire.WorkflowID(id))
+		done()
+		if err != nil && !began {
+			p := s.workflowFailure(err)
+			p.Close = true
+			_ = s.write(c, p)
+			return true
+		}
+		if err == nil {
+			line, err := json.Marshal(st)
+			if err != nil {
+				return true
+			}
+			if !began {
+				began = true
+				if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\ncontent-type: application/x-ndjson\r\nconnection: close\r\n\r\n")); err != nil {
+					return true
+				}
+			}
+			if string(line) != last {
+				last = string(line)
+				if _, err := c.Write(append(line, '\n')); err != nil {
+					return true
+				}
+			}
+			if st.Status == wire.Done || st.Status == wire.Failed || st.Status == wire.Cancelled {
+				return true
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
 // mostWrong bounds what is told of a document: no line of an answer may be very long.
 const mostWrong = 32 << 10
 
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -213,6 +213,18 @@
 	for _, ch := range t.Then {
 		v := string(ch.Value)
 		switch {
+		case strings.HasPrefix(ch.Put, "mmd1/"):
+			kind = "documents"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"w/") && strings.Contains(v, `"swept":true`):
+			kind = "sweep"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"w/") && strings.Contains(v, `"state":"cancelled"`):
+			kind = "workflow cancelled"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"w/") && strings.Contains(v, `"state":`):
+			kind = "workflow end"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"w/"):
+			kind = "workflow"
+		case strings.HasPrefix(ch.Put, ledger.Prefix+"j/") && strings.Contains(v, `"of":`) && !strings.Contains(v, `"a":`):
+			kind = "step"
 		case strings.HasPrefix(ch.Put, ledger.HiresKey):
 			kind = "rental record"
 		case strings.HasPrefix(ch.Put, ledger.Prefix+"m/"):
--- a/internal/controller/steps_test.go
+++ b/internal/controller/steps_test.go
@@ -147,6 +147,12 @@
 	in(3, func(b *beside) {
 		wide := b.scatter("wf-000001", 300, "free", wire.Normal, 0)
 		sleep(b.ctx, 20*time.Second)
+		for i := range 3 { // whoever drives it, all can tell of it
+			st, err := b.core(i).WorkflowStatus(b.ctx, "wf-000001")
+			if err != nil || len(st.Steps) != 1 || st.Steps[0].State != "running" || st.Steps[0].Over == 0 || st.Steps[0].Total != 300 {
+				t.Errorf("m-%d tells %+v, %v", i, st, err)
+			}
+		}
 		from := time.Now()
 		claim := b.plain(1, "free", wire.High, 0)
 		sleep(b.ctx, 5*time.Minute)
--- a/internal/controller/workflow_test.go
+++ b/internal/controller/workflow_test.go
@@ -96,13 +96,32 @@
 func TestWorkflowHistories(t *testing.T) {
 	for seed := uint64(1); seed <= max(3, seeds()/2); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playWorkflows(t, seed) })
+			synctest.Test(t, func(t *testing.T) { playWorkflows(t, newHistory(t, seed)) })
 		})
 	}
 }
 
-func playWorkflows(t *testing.T, seed uint64) {
-	h := newHistory(t, seed)
+// TestFreezeAtEachStepOfAWorkflow: a controller stands still for 50 s at each write of a
+// workflow's life, before it is sent and before its answer is read. What comes out of it late
+// breaks nothing, and all ends as the plain interpreter says.
+func TestFreezeAtEachStepOfAWorkflow(t *testing.T) {
+	for _, kind := range []string{"documents", "workflow", "step", "workflow end", "workflow cancelled", "sweep"} {
+		for _, side := range []string{" sent", " answered"} {
+			t.Run(kind+side, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHistory(t, 9)
+					h.quiet, h.freezeAt = true, kind+side
+					playWorkflows(t, h)
+					if !h.frozen {
+						t.Error("nothing stood still")
+					}
+				})
+			})
+		}
+	}
+}
+
+func playWorkflows(t *testing.T, h *history) {
 	h.runSteps(func(wire.JobID) {})
 	h.cloud.Run = func(wire.TaskID) time.Duration { return 8 * time.Second }
 	ended := 0
--- a/internal/controller/workflows.go
+++ b/internal/controller/workflows.go
@@ -14,10 +14,12 @@
 	"hash/fnv"
 	"io"
 	"slices"
+	"sync"
 	"time"
 
 	"maddermill/internal/data"
 	"maddermill/internal/ledger"
+	"maddermill/internal/place"
 	"maddermill/internal/workflow"
 	"maddermill/wire"
 )
@@ -28,6 +30,15 @@
 type flows struct {
 	store  data.Store // nil: workflows are off
 	driven map[wire.WorkflowID]*driven
+	looked map[wire.WorkflowID]*looked // driven elsewhere, and asked about here
+}
+
+// looked is a workflow that another controller drives, as far as it is looked at here.
+type looked struct {
+	mu  sync.Mutex
+	run *workflow.Run
+	at  wire.Revision
+	ask time.Time // when it was last asked about
 }
 
 type driven struct {
@@ -61,7 +72,7 @@
 func (c *Core) SetWorkflows(store data.Store) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.flows = flows{store: store, driven: map[wire.WorkflowID]*driven{}}
+	c.flows = flows{store: store, driven: map[wire.WorkflowID]*driven{}, looked: map[wire.WorkflowID]*looked{}}
 }
 
 // driveWorkflows drives this controller's part of the workflows.
@@ -170,9 +181,10 @@
 	if err != nil {
 		d.next = now.Add(driveAgain)
 	}
+	steps := d.run.Steps(c.whyWaits)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d.steps = d.run.Steps()
+	d.steps = steps
 	if c.flows.driven[w.ID] = d; over {
 		delete(c.flows.driven, w.ID)
 	}
@@ -405,16 +417,18 @@
 	c.mu.Lock()
 	w := c.led.Workflow(id)
 	st := wire.WorkflowStatus{ID: id}
-	if w != nil {
-		st.Why = w.Why
-		if d := c.flows.driven[id]; d != nil {
-			st.Steps = d.steps
-		}
+	d := c.flows.driven[id]
+	if d != nil {
+		st.Steps = d.steps
 	}
 	c.mu.Unlock()
 	if w == nil {
 		return st, ErrNoSuchJob
 	}
+	st.Why = w.Why
+	if d == nil {
+		st.Steps = c.lookAt(ctx, w)
+	}
 	switch w.State {
 	case ledger.WorkflowActive:
 		st.Status = wire.Running
@@ -433,6 +447,81 @@
 	return st, nil
 }
 
+// Bounds of looking at workflows that others drive.
+const (
+	mostLooked = 64
+	lookedFor  = 30 * time.Second // after it was last asked about
+)
+
+// lookAt tells the steps of a workflow that another controller drives, from its documents
+// and jobs as any driver would; nil if that can't be had, or too many are looked at.
+func (c *Core) lookAt(ctx context.Context, w *ledger.Workflow) []wire.StepStatus {
+	now := time.Now()
+	c.mu.Lock()
+	for id, l := range c.flows.looked {
+		if now.Sub(l.ask) > lookedFor {
+			delete(c.flows.looked, id)
+		}
+	}
+	l := c.flows.looked[w.ID]
+	if l == nil && len(c.flows.looked) < mostLooked {
+		l = new(looked)
+		c.flows.looked[w.ID] = l
+	}
+	if l != nil {
+		l.ask = now
+	}
+	c.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.run == nil || l.at != w.Version {
+		docs, err := c.documents(ctx, w)
+		if err != nil {
+			return nil
+		}
+		run, err := workflow.Resume(context.WithoutCancel(ctx), w, docs, stepJobs{c}, c.flows.store)
+		if err != nil {
+			return nil
+		}
+		run.Look()
+		l.run, l.at = run, w.Version
+	}
+	if _, _, err := l.run.Step(ctx, now, 0); err != nil {
+		c.log.Debug("workflow not looked at", "workflow", w.ID, "err", err)
+	}
+	return l.run.Steps(c.whyWaits)
+}
+
+// whyWaits tells in a few words what a step's job waits for, "" if it runs.
+func (c *Core) whyWaits(id wire.JobID) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.led.Job(id)
+	switch {
+	case j == nil:
+		return "is about to be submitted"
+	case j.State != ledger.Active || j.Claimed > 0:
+		return ""
+	case j.Doomed:
+		return "is being cancelled"
+	}
+	now := time.Now()
+	v := c.view(now)
+	at := slices.IndexFunc(v.Queue, func(e place.Entry) bool { return e.Job.ID == id })
+	switch {
+	case at < 0:
+		return "has just been accepted"
+	case v.Queue[at].Suspect:
+		return fmt.Sprintf("failed on several machines and rests for %v", max(0, v.Queue[at].Retry.Sub(now)).Round(time.Second))
+	case v.TeamRoom(j, ledger.Resources{}, 1) < 1:
+		return "its team is at its limit"
+	}
+	return fmt.Sprintf("waits for a machine, as number %d in the order", at+1)
+}
+
 // CancelWorkflow cancels a workflow and tells its final state. Its steps' jobs are
 // cancelled by whoever drives it; none is submitted any more.
 func (c *Core) CancelWorkflow(ctx context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
--- a/internal/cwl/cases_test.go
+++ b/internal/cwl/cases_test.go
@@ -302,7 +302,7 @@
 				}
 				if c.States != "" {
 					var states []string
-					r.Steps(func(id string, state StepState, _, _ int) { states = append(states, id+" "+string(state)) })
+					r.Steps(func(id string, state StepState, _, _ int, _ string) { states = append(states, id+" "+string(state)) })
 					if got := strings.Join(states, ", "); got != c.States {
 						t.Errorf("steps: %s; want %s", got, c.States)
 					}
--- a/internal/cwl/engine.go
+++ b/internal/cwl/engine.go
@@ -502,10 +502,26 @@
 func (r *Run) Failures() []Failure { return r.failed }
 
 // Steps calls f for each step of the whole, in the document's order, with its state, how
-// many of its elements are over, and how many there are.
-func (r *Run) Steps(f func(id string, state StepState, over, total int)) {
+// many of its elements are over, how many there are, and the step that it waits for, if any.
+func (r *Run) Steps(f func(id string, state StepState, over, total int, behind string)) {
 	for _, s := range r.top.p.Steps {
 		st := r.top.steps[s.ID]
-		f(s.ID, st.state, st.total-st.left, st.total)
+		behind := ""
+		if st.state == StepWaiting {
+			behind = r.top.behind(s)
+		}
+		f(s.ID, st.state, st.total-st.left, st.total, behind)
+	}
+}
+
+// behind is the first step that a step waits for.
+func (c *scope) behind(s *Step) string {
+	for _, in := range s.In {
+		for _, src := range in.Source {
+			if id, _, ok := strings.Cut(src, "/"); ok && (c.steps[id].state == StepWaiting || c.steps[id].state == StepRunning) {
+				return id
+			}
+		}
 	}
+	return ""
 }
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -111,14 +111,15 @@
 	ID   wire.WorkflowID
 	Spec *wire.WorkflowSpec
 
-	jobs  Jobs
-	store data.Store
-	docs  *Documents
-	run   *cwl.Run
-	out   map[string]*step
-	order []string // of out
-	left  []cwl.Task
-	// Resumed is how often the workflow was resumed: so many failures of a step are gone over.
+	jobs    Jobs
+	store   data.Store
+	docs    *Documents
+	run     *cwl.Run
+	out     map[string]*step
+	order   []string // of out
+	left    []cwl.Task
+	passive bool // only looked at here: nothing is submitted, cancelled or ended
+	// resumed is how often the workflow was resumed: so many failures of a step are gone over.
 	resumed int
 }
 
@@ -202,6 +203,10 @@
 			again = true
 		}
 	}
+	if r.passive {
+		_, _, over = r.run.Over()
+		return 0, over, err
+	}
 	for _, id := range r.order {
 		s := r.out[id]
 		if submitted >= most || ctx.Err() != nil {
@@ -233,6 +238,9 @@
 	switch r.jobs.StepState(s.job) {
 	case Doubtful:
 		// The job fails wherever it runs. To cancel it is what makes that durable.
+		if r.passive {
+			return false, nil
+		}
 		return false, r.jobs.CancelStep(ctx, s.job)
 	case Cancelled:
 		return r.failed(s, fmt.Errorf("its job %s was cancelled", s.job)), nil
@@ -370,11 +378,29 @@
 	return gone, err
 }
 
-// Steps tells how far each step has come.
-func (r *Run) Steps() []wire.StepStatus {
+// Look makes the run one that is only looked at: another controller drives it.
+func (r *Run) Look() { r.passive = true }
+
+// Steps tells how far each step has come, and what it waits for: another step, or what why
+// says of the job of its next run.
+func (r *Run) Steps(why func(wire.JobID) string) []wire.StepStatus {
+	next := map[string]wire.JobID{} // by step
+	for _, id := range r.order {
+		step, _, _ := strings.Cut(id, "/")
+		step, _, _ = strings.Cut(step, "[")
+		if _, known := next[step]; !known && r.jobs.StepState(r.out[id].job) != Done {
+			next[step] = r.out[id].job
+		}
+	}
 	var out []wire.StepStatus
-	r.run.Steps(func(id string, state cwl.StepState, over, total int) {
-		out = append(out, wire.StepStatus{Step: id, State: string(state), Over: over, Total: total})
+	r.run.Steps(func(id string, state cwl.StepState, over, total int, behind string) {
+		s := wire.StepStatus{Step: id, State: string(state), Over: over, Total: total}
+		if job, ok := next[id]; ok {
+			s.Why = why(job)
+		} else if behind != "" {
+			s.Why = "waits for step " + behind
+		}
+		out = append(out, s)
 	})
 	return out
 }
--- a/wire/workflows.go
+++ b/wire/workflows.go
@@ -63,8 +63,8 @@
 	return s, nil
 }
 
-// WorkflowStatus is what users are told of a workflow. Steps are told by the controller
-// that drives it.
+// WorkflowStatus is what users are told of a workflow: GET /api/workflows/{id}, and a line
+// whenever it changes from GET /api/workflows/{id}/events.
 type WorkflowStatus struct {
 	ID     WorkflowID      `json:"id"`
 	Status Status          `json:"status"`
@@ -81,6 +81,7 @@
 type StepStatus struct {
 	Step  string `json:"step"`
 	State string `json:"state"`
-	Over  int    `json:"over"`  // runs that are over
-	Total int    `json:"total"` // runs in all, as far as known
+	Over  int    `json:"over"`          // runs that are over
+	Total int    `json:"total"`         // runs in all, as far as known
+	Why   string `json:"why,omitempty"` // what it, or its next run, waits for
 }
