Nothing is stopped for a gang that only waits for a closer place; bounds of evaluation

Found by rereading: a gang that has room and waits for a closer place was taken for one without room, and lower work could be stopped for it.

--- a/internal/cwl/engine.go
+++ b/internal/cwl/engine.go
@@ -12,6 +12,8 @@
 // what has come of them. It runs nothing and keeps nothing durable; told the same results
 // in any order it comes to the same outputs. It is not safe for concurrent use.
 type Run struct {
+	// Enough, if given, ends Ready early: what is evaluated on the way may take long.
+	Enough func() bool
 	// Contents reads a file's first bytes, for loadContents in steps; nil: that fails.
 	Contents func(file map[string]any) (string, error)
 
@@ -313,7 +315,7 @@
 // Expression tools, conditions and workflows within are taken care of on the way.
 func (r *Run) Ready(most int) []Task {
 	var out []Task
-	for len(out) < most && len(r.open) > 0 {
+	for len(out) < most && len(r.open) > 0 && (r.Enough == nil || !r.Enough()) {
 		st := r.open[0]
 		if st.next == st.total {
 			r.open = r.open[1:]
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -106,6 +106,9 @@
 		return Info{}, err
 	}
 	defer os.Remove(f.Name())
+	if err := f.Chmod(0o644); err != nil { // machines that run steps read it, too
+		return Info{}, errors.Join(err, f.Close())
+	}
 	sum := sha256.New()
 	n, err := io.Copy(io.MultiWriter(f, sum), r)
 	if err == nil {
--- a/internal/place/close.go
+++ b/internal/place/close.go
@@ -75,6 +75,10 @@
 			continue
 		}
 		if cost > 0 && e.Waiting < v.Tree.CloserWait && cost > v.tightest(j, g) {
+			if v.closerSoon == nil {
+				v.closerSoon = map[wire.JobID]bool{}
+			}
+			v.closerSoon[j.ID] = true
 			return nil, 0
 		}
 		var out []ledger.Placed
--- a/internal/place/close_test.go
+++ b/internal/place/close_test.go
@@ -169,6 +169,16 @@
 		if got := len(place.Gangs(v)) == 1; got != tc.placed {
 			t.Errorf("%d tasks after %v: placed %v", tc.tasks, tc.waiting, got)
 		}
+		// Nothing is stopped for a gang that has room and only waits for a closer place.
+		low := gangSpec(2, 1)
+		low.Shape, low.Priority, low.Checkpoint = wire.Array, wire.Low, 5
+		lower := submit(t, l, low)
+		v.Victims = func(*place.Machine) []place.Victim {
+			return []place.Victim{{Held: ledger.Held{Job: lower, Claim: ledger.Claim{Count: 2}}, Saves: true}}
+		}
+		if list := place.MakeRoom(v); !tc.placed && len(list) > 0 {
+			t.Errorf("%d tasks after %v: %d machines are emptied", tc.tasks, tc.waiting, len(list))
+		}
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -254,6 +254,8 @@
 	ideal   map[string]topology.Cost // the least cost of gangs that are alike
 	whole   map[topology.Block]int   // empty machines
 	broken  []*Machine               // partly used ones
+
+	closerSoon map[wire.JobID]bool // gangs that have room and wait for a closer place
 }
 
 // index sorts the machines by what they are looked up by.
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -200,7 +200,7 @@
 		if looked++; looked > fewGangs {
 			break
 		}
-		if need := j.Together(); kept[j.ID] || v.TeamRoom(j, ledger.Resources{}, need) < need {
+		if need := j.Together(); kept[j.ID] || v.closerSoon[j.ID] || v.TeamRoom(j, ledger.Resources{}, need) < need {
 			continue // it waits for room that is being made, or kept
 		}
 		for _, x := range v.roomFor(e, taken) {
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -189,7 +189,8 @@
 // whether the workflow is over. An error is of this pass only: the next goes on.
 func (r *Run) Step(ctx context.Context, now time.Time, most int) (submitted int, over bool, err error) {
 	began := time.Now()
-	for again := true; again && ctx.Err() == nil && time.Since(began) < mostLook; {
+	r.run.Enough = func() bool { return ctx.Err() != nil || time.Since(began) > mostLook }
+	for again := true; again && !r.run.Enough(); {
 		again = false
 		for _, id := range slices.Clone(r.order) {
 			moved, e := r.look(ctx, r.out[id], now)
