--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -32,16 +32,17 @@
 
 func main() {
 	var full, keep bool
-	var why string
+	var why, only string
 	var hunt int
 	root := &cobra.Command{Use: "regress", Short: "Compare the deployments' figures with those on record", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error { return run(full, keep, hunt, why) }}
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(full, keep, hunt, why, only) }}
 	f := root.Flags()
 	f.BoolVar(&full, "full", false, "all days and a hunt, not the two roughest days")
 	f.Bool("quick", true, "the two roughest days of each deployment")
 	f.IntVar(&hunt, "hunt", 4, "`DAYS` of the hunt on each deployment, with --full")
 	f.BoolVar(&keep, "record", false, "take the figures into the record, as a mean over the runs in it")
+	f.StringVar(&only, "only", "", "deployments whose names have `TEXT` in them")
 	f.StringVar(&why, "why", "Regression before a landing", "what the journal says of the runs")
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "regress:", err)
@@ -52,7 +53,7 @@
 	}
 }
 
-func run(full, keep bool, hunt int, why string) error {
+func run(full, keep bool, hunt int, why, only string) error {
 	if _, err := os.Stat(bench); err != nil {
 		return errNoKit
 	}
@@ -72,7 +73,10 @@
 		if err != nil {
 			return err
 		}
-		sites = append(sites, found...)
+		sites = append(sites, slices.DeleteFunc(found, func(s string) bool { return !strings.Contains(filepath.Base(s), only) })...)
+	}
+	if len(sites) == 0 {
+		return fmt.Errorf("--only: no deployment has %q in its name", only)
 	}
 	args := append([]string{"score"}, sites...)
 	if !full {
