--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -40,7 +40,7 @@
 	f := root.Flags()
 	f.BoolVar(&full, "full", false, "all days and a hunt, not the two roughest days")
 	f.Bool("quick", true, "the two roughest days of each deployment")
-	f.IntVar(&hunt, "hunt", 4, "`DAYS` of the hunt on each deployment, with --full")
+	f.IntVar(&hunt, "hunt", 4, "`DAYS` of the hunt on each deployment, with --full; 0: none")
 	f.BoolVar(&keep, "record", false, "take the figures into the record, as a mean over the runs in it")
 	f.StringVar(&only, "only", "", "deployments whose names have `TEXT` in them")
 	f.StringVar(&why, "why", "Regression before a landing", "what the journal says of the runs")
@@ -101,7 +101,7 @@
 			}
 		}
 	}
-	if full {
+	if full && hunt > 0 {
 		for _, s := range sites {
 			_, worse, err := play("hunt", s, "--days", fmt.Sprint(hunt), "--why", why)
 			if err != nil {
