--- a/internal/controller/steps_test.go
+++ b/internal/controller/steps_test.go
@@ -13,6 +13,7 @@
 
 	"maddermill/internal/data"
 	"maddermill/internal/ledger"
+	"maddermill/internal/place"
 	"maddermill/internal/workflow"
 	"maddermill/wire"
 )
@@ -174,6 +175,64 @@
 	})
 }
 
+// TestStepsAreStoppedAlike: a step's task and a plain job's of the same kind on one machine are
+// the same to preemption: both may be stopped for urgent work, at the same loss, and neither for
+// work of their own priority.
+func TestStepsAreStoppedAlike(t *testing.T) {
+	c := quietCore(t, 0)
+	now := time.Now()
+	job := func(i int, priority wire.Priority, more string) *ledger.Job {
+		id := fmt.Sprintf("wk-%06d", i)
+		c.led.Apply(ledger.Event{Key: "mm1/j/" + id, Version: wire.Revision(i + 1), Value: []byte(fmt.Sprintf(
+			`{"spec":{"id":"%s","pieces":1,"shape":"array","urgency":"%s","owner":"free","cores":2},"at":1%s}`, id, priority, more))})
+		return c.led.Job(wire.JobID(id))
+	}
+	claim := `,"a":1,"c":[[1,"host-1","a",1,1,0,1]]`
+	job(1, wire.Normal, claim)
+	job(2, wire.Normal, claim+`,"of":"wf-000001"`)
+	victims := c.victims(&place.Machine{ID: "host-1"}, now)
+	if len(victims) != 2 || victims[0].Saves != victims[1].Saves || victims[0].Beyond != victims[1].Beyond || victims[0].Ran != victims[1].Ran {
+		t.Fatalf("to preemption they are %+v", victims)
+	}
+	for priority, want := range map[wire.Priority]int{wire.High: 2, wire.Normal: 0} {
+		urgent := job(3+want, priority, "")
+		stop, room := place.Clear(&place.Entry{Job: urgent}, ledger.Resources{}, 2, victims)
+		if len(stop) != want || room != want {
+			t.Errorf("for %s work %d are stopped, for %d tasks", priority, len(stop), room)
+		}
+	}
+}
+
+// TestChainOfTwenty measures what a chain takes beyond its steps' own times.
+func TestChainOfTwenty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := newBeside(t, ctx, 2)
+		doc := "inputs: {x: string}\noutputs: {o: {type: string, outputSource: s19/o}}\nsteps:\n"
+		for i := range 20 {
+			from := "x"
+			if i > 0 {
+				from = fmt.Sprintf("s%d/o", i-1)
+			}
+			doc += fmt.Sprintf("  s%d: {run: %s, in: {a: %s}, out: [o]}\n", i, echoTool, from)
+		}
+		from := time.Now()
+		if !b.flow(ctx, "wf-000001", doc, "x: r", ledger.WorkflowDone) {
+			t.Fatal("it does not end")
+		}
+		last := b.after(from, []wire.JobID{workflow.JobOf("wf-000001", "s19", 0)}, 1)
+		one := time.Now()
+		ids := b.plain(1, "free", wire.High, 0)
+		sleep(ctx, time.Minute)
+		alone := b.after(one, ids, 1)
+		b.finish(cancel)
+		t.Logf("a chain of 20 is done after %v, %v a step; a plain job of the same after %v", last, last/20, alone)
+		if last > 20*(alone+4*time.Second) {
+			t.Errorf("a chain of 20 takes %v, a job %v", last, alone)
+		}
+	})
+}
+
 // countedJobs answers at once: each step's job is done as soon as it is submitted.
 type countedJobs struct {
 	store data.Store
