--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"maddermill/internal/ledger"
+	"maddermill/internal/topology"
 	"maddermill/wire"
 )
 
@@ -37,7 +38,8 @@
 	Usable  bool // may be given tasks
 	Mine    bool // reports to this controller
 	Busy    []Busy
-	FetchGB float64 // a second
+	FetchGB float64        // a second
+	Block   topology.Block // where it is, if a topology is declared
 }
 
 // Busy is room that tasks take, and until when as far as can be foreseen.
@@ -237,6 +239,9 @@
 	// Reserved is the room that gangs will be given in a moment, in tasks.
 	Reserved map[wire.MachineID]map[wire.JobID]int
 
+	// Tree is the declared topology; nil: there is none.
+	Tree *topology.Tree
+
 	// Looked counts the entries and machines that decisions have looked at.
 	Looked int
 
@@ -246,6 +251,9 @@
 	least   *ledger.Resources
 	victims map[wire.MachineID][]Victim
 	evict   map[wire.JobID]*Eviction
+	ideal   map[string]topology.Cost // the least cost of gangs that are alike
+	whole   map[topology.Block]int   // empty machines
+	broken  []*Machine               // partly used ones
 }
 
 // index sorts the machines by what they are looked up by.
@@ -359,7 +367,7 @@
 				}
 				continue
 			}
-			if !v.open(e, m) {
+			if !v.open(e, m) || v.leftWhole(e, m) {
 				continue
 			}
 			n := room(e)
@@ -580,13 +588,11 @@
 func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) (best []ledger.Placed, bestRank int) {
 	j := e.Job
 	need := j.Together()
-	type option struct {
-		m    *Machine
-		room int
-		rank int
-		left int64 // GPUs and CPUs that stay free beside the gang
-	}
-	zones := map[wire.Zone][]option{}
+	found := nearest[gangOption]{most: need, order: func(a, b gangOption) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
+			cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
+	}}
+	var all []gangOption // with a topology
 	total := 0
 	for _, m := range roomy {
 		v.Looked++
@@ -595,34 +601,26 @@
 			continue
 		}
 		free := m.Free.Add(j.Need, -room)
-		o := option{m, room, m.Images.rank(j.Spec.Image), free.GPU + free.CPU}
+		o := gangOption{m, room, m.Images.rank(j.Spec.Image), free.GPU + free.CPU}
 		if begun, also := fetches[m.ID]; o.rank == rankAbsent && (also || len(m.Images.fetching) > 0) {
 			if o.rank = rankBusy; begun == j.Spec.Image {
 				o.rank = rankUnderway
 			}
 		}
-		zone := m.Zone
-		if !j.Spec.OneZone {
-			zone = ""
+		if v.Tree != nil {
+			all = append(all, o)
+		} else {
+			found.add(m.Zone, o)
 		}
-		zones[zone] = append(zones[zone], o)
 		total += room
 	}
 	if total < need {
 		return nil, 0
 	}
-	own := func(m *Machine) int {
-		if m.Spot {
-			return 0
-		}
-		return 1
+	if v.Tree != nil {
+		return v.closest(e, all)
 	}
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		options := zones[zone]
-		slices.SortFunc(options, func(a, b option) int {
-			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
-				cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
-		})
+	for _, options := range found.places(j.Spec.OneZone) {
 		left, rank := need, 0
 		taken := map[wire.Zone]int{}
 		var out []ledger.Placed
@@ -646,6 +644,44 @@
 	return best, bestRank
 }
 
+// nearest keeps the first few options of each zone in an order. A gang needs no more
+// machines of a zone than it has tasks, so the rest need not be sorted.
+type nearest[T any] struct {
+	most  int // of a zone
+	order func(a, b T) int
+	zones map[wire.Zone][]T
+}
+
+func (f *nearest[T]) add(z wire.Zone, o T) {
+	if f.zones == nil {
+		f.zones = map[wire.Zone][]T{}
+	}
+	list := f.zones[z]
+	if len(list) == f.most {
+		if f.order(o, list[len(list)-1]) >= 0 {
+			return
+		}
+		list = list[:len(list)-1]
+	}
+	at, _ := slices.BinarySearchFunc(list, o, f.order)
+	f.zones[z] = slices.Insert(list, at, o)
+}
+
+// places lists the options in order: of each zone by itself, or of all together.
+func (f *nearest[T]) places(oneZone bool) [][]T {
+	var out [][]T
+	var all []T
+	for _, z := range slices.Sorted(maps.Keys(f.zones)) {
+		out = append(out, f.zones[z])
+		all = append(all, f.zones[z]...)
+	}
+	if oneZone {
+		return out
+	}
+	slices.SortFunc(all, f.order)
+	return [][]T{all}
+}
+
 // Withhold chooses the machines whose freed room is kept for gangs that have
 // headed the order for too long: as many as could hold them, those with the
 // least on them first. kept is the choice so far; it is held on to.
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,11 +22,12 @@
 	Run     func(wire.TaskID) time.Duration
 	Started func(*Machine)
 
-	mu    sync.Mutex
-	next  int
-	all   []*rented
-	hires map[wire.HireName][]wire.MachineID
-	Down  bool
+	mu     sync.Mutex
+	next   int
+	inZone map[int]int // machines so far
+	all    []*rented
+	hires  map[wire.HireName][]wire.MachineID
+	Down   bool
 }
 
 type rented struct {
@@ -118,7 +120,7 @@
 		}
 	}
 	m := &Machine{World: c.World, Lease: c.Lease, Run: c.Run, GPUs: f.GPUs,
-		Type: wire.ListedMachine{ID: id, Type: t, Zone: z, Spot: spot, Addr: "10.9.9.9:9000"}}
+		Type: wire.ListedMachine{ID: id, Type: t, Zone: z, Spot: spot, Addr: c.endpoint(slices.Index(f.Zones, z))}}
 	now := time.Now()
 	c.all = append(c.all, &rented{m: m, at: now, up: now.Add(boot)})
 	time.AfterFunc(boot, func() {
@@ -135,6 +137,42 @@
 	return id
 }
 
+// racksPerZone is how many racks a zone has. Two at a time share a switch.
+const racksPerZone = 4
+
+// Topology declares, in the form of --topology, where the machines of some zones are.
+func Topology(zones []wire.Zone) string {
+	var b strings.Builder
+	b.WriteString(`# Where the stand-ins' machines are. Their endpoints are 127.ZONE.RACK.MACHINE.
+level { name: "zone" cost: 16 }
+level { name: "switch" cost: 4 }
+level { name: "rack" cost: 1 }
+`)
+	for z, zone := range zones {
+		fmt.Fprintf(&b, "block {\n  name: %q\n", zone)
+		for s := range racksPerZone / 2 {
+			fmt.Fprintf(&b, "  block {\n    name: \"switch-%d%d\"\n", z+1, s+1)
+			for r := 2*s + 1; r <= 2*s+2; r++ {
+				fmt.Fprintf(&b, "    block { name: \"rack-%d%d\" prefix: \"127.%d.%d.0/24\" }\n", z+1, r, z+1, r)
+			}
+			b.WriteString("  }\n")
+		}
+		b.WriteString("}\n")
+	}
+	return b.String()
+}
+
+// endpoint makes up where a zone's next machine is: on loopback, a network a rack. It is
+// called 127.ZONE.RACK.MACHINE, both counted from 1.
+func (c *Cloud) endpoint(zone int) string {
+	if c.inZone == nil {
+		c.inZone = map[int]int{}
+	}
+	n := c.inZone[zone]
+	c.inZone[zone]++
+	return fmt.Sprintf("127.%d.%d.%d:9000", zone+1, n%racksPerZone+1, n/racksPerZone%250+1)
+}
+
 // Return implements the controllers' view of the cloud.
 func (c *Cloud) Return(_ context.Context, names []wire.MachineID) error {
 	if err := c.travel(); err != nil {
