--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"maddermill/internal/data"
 	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
 	"maddermill/internal/settings"
@@ -94,6 +95,8 @@
 	tree *topology.Tree                     // declared to all controllers, if given
 	told func(msg string, a map[string]any) // what controllers log, if given
 	dead func(*standin.Machine) bool        // machines that are out of reach, if given
+	data data.Store                         // switches workflows on, if given
+	also func(context.Context)              // started with the jobs, if given
 }
 
 func (h *history) chance(n int) int {
@@ -137,6 +140,9 @@
 	if h.calm {
 		c.set.Operators.IdleBoots = 1000
 	}
+	if h.data != nil {
+		c.SetWorkflows(h.data)
+	}
 	if h.tree != nil {
 		c.SetTopology(h.tree)
 	}
@@ -325,26 +331,51 @@
 	}
 }
 
+// askAny asks any controller, again and again, until one answers.
+func askAny[T any](ctx context.Context, h *history, about string, f func(context.Context, *Core) (T, error)) (answer T, ok bool) {
+	for ctx.Err() == nil {
+		if c := h.core(h.chance(3)); c != nil {
+			one, cancel := context.WithTimeout(ctx, 4*time.Second)
+			got, err := f(one, c)
+			cancel()
+			if err == nil {
+				return got, true
+			}
+			if errors.Is(err, ErrNoSuchJob) {
+				h.t.Errorf("seed %d: forgotten %s", h.seed, about)
+			}
+		}
+		sleep(ctx, time.Second)
+	}
+	return answer, false
+}
+
+// runSteps switches workflows on, has machines know the jobs that controllers submit, and
+// pretends to run steps before their tasks are done.
+func (h *history) runSteps(then func(wire.JobID)) {
+	h.data = new(data.Mem)
+	h.store.Seen = func(c wire.Change) {
+		if spec, ok := standin.Spec(c); ok {
+			h.world.Upload(spec)
+		}
+	}
+	h.world.Finished = func(id wire.TaskID) {
+		if err := standin.RunStep(context.Background(), h.data, id.Job); err != nil {
+			h.t.Error(err)
+		}
+		then(id.Job)
+	}
+}
+
 // user submits a job, polls it and perhaps cancels it.
 func (h *history) user(ctx context.Context, spec *wire.JobSpec, cancelAfter time.Duration, finished *int) {
 	h.world.Upload(spec)
 	ask := func(f func(context.Context, *Core) (wire.JobStatus, error)) (wire.JobStatus, bool) {
-		for ctx.Err() == nil {
-			if c := h.core(h.chance(3)); c != nil {
-				one, cancel := context.WithTimeout(ctx, 4*time.Second)
-				st, err := f(one, c)
-				cancel()
-				if err == nil {
-					h.world.Told(spec.ID, st.Status)
-					return st, true
-				}
-				if errors.Is(err, ErrNoSuchJob) {
-					h.t.Errorf("seed %d: forgotten %s", h.seed, spec.ID)
-				}
-			}
-			sleep(ctx, time.Second)
+		st, ok := askAny(ctx, h, string(spec.ID), f)
+		if ok {
+			h.world.Told(spec.ID, st.Status)
 		}
-		return wire.JobStatus{}, false
+		return st, ok
 	}
 	if _, ok := ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) {
 		st, _, err := c.Submit(ctx, spec)
@@ -475,6 +506,9 @@
 	ctx, cancel := context.WithCancel(h.t.Context())
 	defer cancel()
 	h.begin(ctx, 4, lossy)
+	if h.also != nil {
+		h.also(ctx)
+	}
 	for i := range jobs {
 		spec := h.spec(i)
 		after := time.Duration(h.chance(int(d/time.Second)*2/3)) * time.Second
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -92,8 +92,10 @@
 	Accepted wire.UnixMillis
 	State    JobState
 	Stop     wire.Attempt
-	Done     int // tasks done
-	Claimed  int // tasks claimed
+	Done     int             // tasks done
+	Claimed  int             // tasks claimed
+	Of       wire.WorkflowID // the workflow that it is a step of, "" if none
+	Doomed   bool            // that workflow is cancelled: the job will be, too
 	chunks   map[int]*Chunk
 
 	chunkTasks int
@@ -101,7 +103,7 @@
 
 // Pending is the number of tasks that are neither done nor claimed.
 func (j *Job) Pending() int {
-	if j.State != Active {
+	if j.State != Active || j.Doomed {
 		return 0
 	}
 	return j.Spec.Tasks - j.Done - j.Claimed
@@ -176,6 +178,8 @@
 	members  map[wire.MemberID]json.RawMessage
 	flavors  map[wire.MachineSKU]wire.Flavor
 
+	workflows map[wire.WorkflowID]*Workflow
+
 	cancelled wire.Revision // of the newest cancellation, or later
 
 	hires     HiresRecord
@@ -200,7 +204,7 @@
 		teamVer: map[wire.Team]wire.Revision{}, marks: map[wire.MachineID]MachineMark{},
 		leaving: map[wire.MachineID]struct{}{}, touched: map[wire.MachineID]struct{}{},
 		markVer: map[wire.MachineID]wire.Revision{}, members: map[wire.MemberID]json.RawMessage{},
-		flavors: map[wire.MachineSKU]wire.Flavor{}}
+		flavors: map[wire.MachineSKU]wire.Flavor{}, workflows: map[wire.WorkflowID]*Workflow{}}
 }
 
 // Revision is how far the ledger has caught up.
@@ -300,6 +304,9 @@
 	if ok {
 		return l.applyJob(wire.JobID(rest), e)
 	}
+	if rest, ok = strings.CutPrefix(e.Key, workflowPrefix); ok {
+		return l.applyWorkflow(wire.WorkflowID(rest), e)
+	}
 	if rest, ok = strings.CutPrefix(e.Key, chunkPrefix); ok {
 		id, n, ok := splitChunkKey(rest)
 		if !ok {
@@ -387,7 +394,10 @@
 	}
 	if j == nil {
 		j = &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, chunks: map[int]*Chunk{}, chunkTasks: cmp.Or(r.Range, l.limits.ChunkTasks()),
-			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB)}
+			Need: NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB), Of: r.Of}
+		if w := l.workflows[r.Of]; w != nil && w.State == WorkflowCancelled {
+			j.Doomed = true
+		}
 		l.jobs[id] = j
 	}
 	if r.State == Cancelled && j.State != Cancelled {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,6 +22,8 @@
 	CancelS time.Duration
 	Broken  []string
 	Starts  int
+
+	Finished func(wire.TaskID) // called before a task is reported as done, if given
 }
 
 // mate is a gang's task as its mates see it.
@@ -55,6 +57,13 @@
 	w.mu.Unlock()
 }
 
+// Known reports whether a job's description was uploaded.
+func (w *World) Known(job wire.JobID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.specs[job] != nil
+}
+
 func (w *World) broke(rule string) { w.Broken = append(w.Broken, rule) }
 
 // Told notes what a user was told of a job and checks it.
@@ -282,6 +291,9 @@
 		}
 	}
 	if r.state == wire.TaskRunning && now.After(r.until) {
+		if w.Finished != nil {
+			w.Finished(t)
+		}
 		r.state, r.cause = wire.TaskExited, wire.CauseDone
 		m.World.done[t] = true
 		m.World.leave(t)
