A cancelled workflow is swept only after a pass that was not cut short

Found by rereading: taking a large workflow over, a pass ends after 0.3 s, and the steps that it had not come to yet were taken for none. Their tasks stopped all the same; their jobs' records stayed.

--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -118,6 +118,7 @@
 	out     map[string]*step
 	order   []string // of out
 	left    []cwl.Task
+	cut     bool // the last pass ended early: more is under way than order tells
 	passive bool // only looked at here: nothing is submitted, cancelled or ended
 	// resumed is how often the workflow was resumed: so many failures of a step are gone over.
 	resumed int
@@ -208,6 +209,7 @@
 		_, _, over = r.run.Over()
 		return 0, over, err
 	}
+	r.cut = r.run.Enough()
 	for _, id := range r.order {
 		s := r.out[id]
 		if submitted >= most || ctx.Err() != nil {
@@ -366,9 +368,10 @@
 }
 
 // Cancel cancels the jobs of the steps under way, and reports whether none is left. Steps
-// that another controller submitted before it knew are found as they become known here.
+// that another controller submitted before it knew are found as they become known here; after a
+// pass that was cut short there may be more.
 func (r *Run) Cancel(ctx context.Context) (gone bool, err error) {
-	gone = true
+	gone = !r.cut
 	for _, id := range r.order {
 		switch s := r.out[id]; r.jobs.StepState(s.job) {
 		case Active, Doubtful:
