--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"maddermill/internal/data"
@@ -155,3 +156,68 @@
 		}
 	}
 }
+
+// slow is a service whose results take time to read, with the jobs of the last few runs of a
+// scatter under way.
+type slow struct {
+	*script
+	active map[wire.JobID]bool
+}
+
+func (s *slow) Get(ctx context.Context, name string) ([]byte, data.Info, error) {
+	time.Sleep(20 * time.Millisecond)
+	return []byte(`{"code":0,"outputs":{"o":"x"}}`), data.Info{}, nil
+}
+
+func (s *slow) StepState(id wire.JobID) JobState {
+	switch {
+	case s.cancelled[id]:
+		return Cancelled
+	case s.active[id]:
+		return Active
+	}
+	return Done
+}
+
+// TestCancelAfterATakeover: taking a large workflow over takes several passes; until all that
+// is under way has been come to, none is not said to be left. It was once, and the jobs of the
+// steps that followed stayed on record as active.
+func TestCancelAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const doc = `cwlVersion: v1.2
+class: Workflow
+requirements: {ScatterFeatureRequirement: {}}
+inputs: {x: 'int[]'}
+outputs: []
+steps:
+  s: {run: {class: CommandLineTool, baseCommand: t, inputs: {a: int}, outputs: {o: string}}, scatter: a, in: {a: x}, out: [o]}
+`
+		s := &slow{&script{cancelled: map[wire.JobID]bool{}}, map[wire.JobID]bool{}}
+		for i := 95; i < 100; i++ {
+			s.active[JobOf("wf-000001", fmt.Sprintf("s[%d]", i), 0)] = true
+		}
+		w := &ledger.Workflow{ID: "wf-000001"}
+		w.Spec = &wire.WorkflowSpec{ID: w.ID, Team: "t", Entry: "main.cwl", Window: 10}
+		in, _ := json.Marshal(map[string]any{"x": make([]int, 100)})
+		r, err := Resume(t.Context(), w, &Documents{map[string]string{"main.cwl": doc}, in}, s, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for pass := 1; ; pass++ {
+			if _, _, err := r.Step(t.Context(), time.Now(), 0); err != nil || pass > 50 {
+				t.Fatal(pass, err)
+			}
+			gone, err := r.Cancel(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !gone {
+				continue
+			}
+			if len(s.cancelled) != len(s.active) || pass < 3 {
+				t.Errorf("after %d passes none is left, with %d of %d jobs cancelled", pass, len(s.cancelled), len(s.active))
+			}
+			return
+		}
+	})
+}
