--- /dev/null
+++ b/cmd/regress/main.go
@@ -0,0 +1,193 @@
+// Command regress plays the operators' deployments on their bench, which is not part of
+// this repository, and compares the figures with those on record.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"maddermill/internal/regress"
+)
+
+const (
+	kit        = "../given/kit"
+	bench      = kit + "/more/fleet/bin/fleetbench"
+	recordFile = "scripts/regress.json"
+)
+
+// patterns are where the deployments' site files are; each day of one is compared.
+var patterns = []string{kit + "/next/*.toml", kit + "/more/*.toml", kit + "/more/fleet/*.toml"}
+
+var errNoKit = errors.New("the operators' kit is not here; nothing was compared")
+
+func main() {
+	var full, keep bool
+	var why string
+	var hunt int
+	root := &cobra.Command{Use: "regress", Short: "Compare the deployments' figures with those on record", Args: cobra.NoArgs,
+		SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(full, keep, hunt, why) }}
+	f := root.Flags()
+	f.BoolVar(&full, "full", false, "all days and a hunt, not the two roughest days")
+	f.Bool("quick", true, "the two roughest days of each deployment")
+	f.IntVar(&hunt, "hunt", 4, "`DAYS` of the hunt on each deployment, with --full")
+	f.BoolVar(&keep, "record", false, "take the figures into the record, as a mean over the runs in it")
+	f.StringVar(&why, "why", "Regression before a landing", "what the journal says of the runs")
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "regress:", err)
+		if errors.Is(err, errNoKit) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func run(full, keep bool, hunt int, why string) error {
+	if _, err := os.Stat(bench); err != nil {
+		return errNoKit
+	}
+	record := regress.Record{}
+	b, err := os.ReadFile(recordFile)
+	if err == nil {
+		err = json.Unmarshal(b, &record)
+	} else if errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", recordFile, err)
+	}
+	var sites []string
+	for _, p := range patterns {
+		found, err := filepath.Glob(p)
+		if err != nil {
+			return err
+		}
+		sites = append(sites, found...)
+	}
+	args := append([]string{"score"}, sites...)
+	if !full {
+		args = append(args, "--quick")
+	}
+	now, broken, err := play(append(args, "--why", why)...)
+	if err != nil {
+		return err
+	}
+	// A single run moves by more than what is looked for: what fell is played twice more.
+	for _, fall := range record.Compare(now) {
+		site := slices.IndexFunc(sites, func(s string) bool { return filepath.Base(s) == fall.Site+".toml" })
+		fmt.Println("again:", fall)
+		for range 2 {
+			again, worse, err := play("run", sites[site], fall.Name, "--why", "Again, after a lower figure")
+			if err != nil {
+				return err
+			}
+			broken = append(broken, worse...)
+			for name, d := range again[fall.Site] {
+				now.Add(regress.Played{Site: fall.Site, Name: name, Figure: d.Figure, Aims: d.Aims})
+			}
+		}
+	}
+	if full {
+		for _, s := range sites {
+			_, worse, err := play("hunt", s, "--days", fmt.Sprint(hunt), "--why", why)
+			if err != nil {
+				return err
+			}
+			broken = append(broken, worse...)
+		}
+	}
+	falls := record.Compare(now)
+	for _, site := range slices.Sorted(maps.Keys(now)) {
+		for _, name := range slices.Sorted(maps.Keys(now[site])) {
+			fmt.Printf("%s, %s: %.3f, on record %.3f\n", site, name, now[site][name].Figure, record[site][name].Figure)
+		}
+	}
+	if len(broken) == 0 && len(falls) == 0 {
+		if keep {
+			return save(record, now)
+		}
+		return nil
+	}
+	for _, f := range falls {
+		broken = append(broken, "fell: "+f.String())
+	}
+	return errors.New(strings.Join(broken, "\nregress: "))
+}
+
+// play runs the bench and reads what its journal says of the run's days.
+func play(args ...string) (regress.Record, []string, error) {
+	before, err := entries()
+	if err != nil {
+		return nil, nil, err
+	}
+	c := exec.Command(bench, args...)
+	c.Stdout, c.Stderr = os.Stdout, os.Stderr
+	if err := c.Run(); err != nil {
+		// A broken rule is in the journal and told below.
+		fmt.Fprintln(os.Stderr, "regress:", args[0], err)
+	}
+	after, err := entries()
+	if err != nil {
+		return nil, nil, err
+	}
+	out, broken := regress.Record{}, []string(nil)
+	for name := range after {
+		if before[name] {
+			continue
+		}
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		days, err := regress.Parse(b)
+		if err != nil {
+			return nil, nil, fmt.Errorf("%s: %w", name, err)
+		}
+		for _, d := range days {
+			for _, rule := range d.Broken {
+				broken = append(broken, fmt.Sprintf("%s, %s: %s", d.Site, d.Name, rule))
+			}
+			if args[0] != "hunt" && !strings.HasPrefix(d.Name, "fresh") { // drawn anew each time
+				out.Add(d)
+			}
+		}
+	}
+	if len(out) == 0 && args[0] != "hunt" {
+		return nil, nil, errors.New("the bench left no days in its journal")
+	}
+	return out, broken, nil
+}
+
+func entries() (map[string]bool, error) {
+	names, err := filepath.Glob("journal/*.json")
+	out := map[string]bool{}
+	for _, n := range names {
+		out[n] = true
+	}
+	return out, err
+}
+
+func save(record, now regress.Record) error {
+	for site, days := range now {
+		for name, d := range days {
+			for range d.Runs { // each with the mean: the sums are the same
+				record.Add(regress.Played{Site: site, Name: name, Figure: d.Figure, Aims: d.Aims})
+			}
+		}
+	}
+	b, err := json.MarshalIndent(record, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(recordFile, append(b, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/regress/regress.go
@@ -0,0 +1,138 @@
+// Package regress compares figures of simulated days with those on record, so that a
+// landing that makes a deployment worse is noticed before it lands.
+package regress
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Noise is how far a figure moves between two runs of the same sources.
+const Noise = 0.03
+
+// Day is what is known of a standard day: the mean over the runs that it comes from.
+type Day struct {
+	Runs   int                `json:"runs"`
+	Figure float64            `json:"figure"` // 0 to 1
+	Aims   map[string]float64 `json:"aims"`   // worth by aim, 0 to 1
+}
+
+// Record has the days by site and name.
+type Record map[string]map[string]Day
+
+// Played is one day as the bench's journal has it.
+type Played struct {
+	Site, Name string
+	Figure     float64
+	Aims       map[string]float64
+	Broken     []string // rules, and why the day failed
+}
+
+// entry is the part of a journal's entry that figures are read from.
+type entry struct {
+	Site string `json:"site"`
+	OK   bool   `json:"ok"`
+	Days []struct {
+		Name   string          `json:"name"`
+		Kind   string          `json:"kind"`
+		Figure *float64        `json:"score"`
+		Rules  map[string]any  `json:"rules"`
+		Fault  json.RawMessage `json:"fault"`
+		Aims   [][2]any        `json:"aims"`
+	} `json:"days"`
+}
+
+// Parse reads one journal entry. Days without a figure count as failed.
+func Parse(b []byte) ([]Played, error) {
+	var e entry
+	if err := json.Unmarshal(b, &e); err != nil {
+		return nil, err
+	}
+	if !e.OK || e.Site == "" {
+		return nil, fmt.Errorf("the run did not finish")
+	}
+	var out []Played
+	for _, d := range e.Days {
+		name, _, _ := strings.Cut(d.Name, " --")
+		p := Played{Site: e.Site, Name: name, Aims: map[string]float64{}}
+		for _, rule := range slices.Sorted(maps.Keys(d.Rules)) {
+			p.Broken = append(p.Broken, fmt.Sprintf("%s (%v)", rule, d.Rules[rule]))
+		}
+		if fault := string(d.Fault); fault != "" && fault != "null" {
+			p.Broken = append(p.Broken, "the day failed: "+fault)
+		}
+		if d.Figure == nil {
+			p.Broken = append(p.Broken, "the day has no figure")
+		} else {
+			p.Figure = *d.Figure
+		}
+		for _, a := range d.Aims {
+			text, _ := a[0].(string)
+			worth, _ := a[1].(float64)
+			if i := strings.LastIndex(text, ":"); i > 0 {
+				p.Aims[text[:i]] = worth
+			}
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+// Add takes a day into the mean on record.
+func (r Record) Add(p Played) {
+	if r[p.Site] == nil {
+		r[p.Site] = map[string]Day{}
+	}
+	r[p.Site][p.Name] = r[p.Site][p.Name].with(p)
+}
+
+func (d Day) with(p Played) Day {
+	mean := func(old, one float64) float64 { return (old*float64(d.Runs) + one) / float64(d.Runs+1) }
+	aims := make(map[string]float64, len(p.Aims))
+	for name, worth := range p.Aims {
+		aims[name] = mean(d.Aims[name], worth)
+	}
+	return Day{Runs: d.Runs + 1, Figure: mean(d.Figure, p.Figure), Aims: aims}
+}
+
+// Fall is a day whose figure is lower than on record by more than noise.
+type Fall struct {
+	Site, Name string
+	Was, Is    float64
+	Aims       []string // that fell by more than noise, the furthest first
+}
+
+// String is one line that names the site, the day and the aims.
+func (f Fall) String() string {
+	return fmt.Sprintf("%s, %s: %.3f, on record %.3f; fallen: %s", f.Site, f.Name, f.Is, f.Was, cmp.Or(strings.Join(f.Aims, "; "), "no aim by itself"))
+}
+
+// Compare returns the days of now that fell, by site and name. Days that are not on
+// record are passed over.
+func (r Record) Compare(now Record) []Fall {
+	var out []Fall
+	for _, site := range slices.Sorted(maps.Keys(now)) {
+		for _, name := range slices.Sorted(maps.Keys(now[site])) {
+			was, ok := r[site][name]
+			is := now[site][name]
+			if !ok || was.Figure-is.Figure <= Noise {
+				continue
+			}
+			f := Fall{Site: site, Name: name, Was: was.Figure, Is: is.Figure}
+			fell := func(aim string) float64 { return was.Aims[aim] - is.Aims[aim] }
+			for _, aim := range slices.SortedFunc(maps.Keys(was.Aims), func(a, b string) int {
+				return cmp.Or(cmp.Compare(fell(b), fell(a)), cmp.Compare(a, b))
+			}) {
+				if fell(aim) > Noise {
+					f.Aims = append(f.Aims, fmt.Sprintf("%s %.2f -> %.2f", aim, was.Aims[aim], is.Aims[aim]))
+				}
+			}
+			out = append(out, f)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/regress/regress_test.go
@@ -0,0 +1,48 @@
+package regress
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+const journal = `{"site":"mill","ok":true,"days":[
+ {"name":"calm","score":0.70,"rules":{},"fault":null,"aims":[["wait a 50 s: 0.7 (aim 0.8)",0.5],["price: 2 (aim 2)",0.9]]},
+ {"name":"storm --seed 4","score":0.0,"rules":{"ran_twice":2},"fault":null,"aims":[]}]}`
+
+// TestFallsAreNamed: a figure that fell is told with its site, day and aim, a broken rule
+// by its name, and a change within noise or a day that is not on record is not told.
+func TestFallsAreNamed(t *testing.T) {
+	days, err := Parse([]byte(journal))
+	if err != nil || len(days) != 2 {
+		t.Fatal(days, err)
+	}
+	if b := days[1].Broken; days[1].Name != "storm" || len(b) != 1 || !strings.Contains(b[0], "ran_twice") {
+		t.Errorf("read %+v", days[1])
+	}
+	now := Record{}
+	now.Add(days[0])
+	for _, tc := range []struct {
+		was  float64
+		told string
+	}{{0.72, ""}, {0.74, "wait a 50 s 0.60 -> 0.50"}} {
+		record := Record{"mill": {"calm": {Runs: 1, Figure: tc.was, Aims: map[string]float64{"wait a 50 s": 0.6, "price": 0.9}}}}
+		falls := record.Compare(now)
+		if len(falls) == 0 != (tc.told == "") {
+			t.Fatalf("on record %v: %v", tc.was, falls)
+		}
+		if len(falls) > 0 && (!strings.Contains(falls[0].String(), tc.told) || !strings.Contains(falls[0].String(), "mill, calm")) {
+			t.Errorf("told as %q", falls[0])
+		}
+	}
+	if falls := (Record{}).Compare(now); len(falls) > 0 {
+		t.Errorf("a day that is not on record: %v", falls)
+	}
+	days[0].Figure = 0.60
+	if now.Add(days[0]); math.Abs(now["mill"]["calm"].Figure-0.65) > 1e-9 {
+		t.Errorf("mean of two runs: %v", now["mill"]["calm"])
+	}
+	if _, err := Parse([]byte(`{"site":null,"ok":false}`)); err == nil {
+		t.Error("a run that did not finish is taken for one without days")
+	}
+}
