An old report of a gang's task that gave up waiting proves nothing any more

Cause: such a task rejoins under its own attempt. A copy of the report that showed it given up, taken by a controller that never held the machine or by its holder's next life, released the claim of a task that runs: the gang was stopped for nothing, and could have been started once more beside it.

Change: giving up counts only in a report that was sent under our token, when nobody else can have the task rejoin. Histories gain late writes after newer ones, copies of reports to any controller, deaf machines, refusal alone followed by an outage, cuts from state service and peers at once, fetches longer than a gang waits, any number of controllers; they are played for 10 minutes now, since the outages are longer than a cancellation may take. Leases of stand-in machines end on time.

--- a/internal/controller/archive_test.go
+++ b/internal/controller/archive_test.go
@@ -274,7 +274,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHistory(t, 11)
 		h.quiet, h.past = true, true
-		h.upTo = [3]int{1, 1, 1}
+		h.upTo = []int{1, 1, 1}
 		format := func() (f ledger.FormatRecord) {
 			it, err := h.links[0].Get(t.Context(), ledger.FormatKey)
 			if err == nil {
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -48,15 +48,17 @@
 	cores []*Core           // nil while one is down
 	lives []context.Context // of the run of each that began last
 	stop  []context.CancelFunc
-	cut   [3]bool // from the mesh
+	cut   []bool // from the mesh
 
 	freezeAt string // the step at which a controller is to stand still, once
 	frozen   bool
 	quiet    bool // no other troubles
 	calm     bool // and no report or answer is late or lost; idle machines are kept
 	over     bool
-	past     bool   // what is over leaves the records at once
-	upTo     [3]int // formats that controllers read, if not the newest
+	past     bool                     // what is over leaves the records at once
+	upTo     []int                    // formats that controllers read, if not the newest
+	n        int                      // controllers
+	tune     func(*settings.Settings) // changes the settings of all of them, if given
 
 	tree *topology.Tree                     // declared to all controllers, if given
 	told func(msg string, a map[string]any) // what controllers log, if given
@@ -68,6 +70,10 @@
 
 	at     func(i int, step string) // called at each step of a controller, if given
 	copies bool                     // all messages that were carried out arrive once more, late
+
+	reported func(at int, r *wire.Report) // called with each report that is sent, if given
+	deaf     map[wire.MachineID]bool      // whose reports arrive, and no answer to them
+	lossy    float64                      // share of transactions without an answer
 }
 
 func (h *history) chance(n int) int {
@@ -76,16 +82,20 @@
 	return h.rng.IntN(n)
 }
 
-func newHistory(t *testing.T, seed uint64) *history {
-	h := &history{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 2)), cores: make([]*Core, 3), lives: make([]context.Context, 3), stop: make([]context.CancelFunc, 3)}
-	set := testSettings(t, 0)
+func newHistory(t *testing.T, seed uint64) *history { return newHistoryOf(t, seed, 3, nil) }
+
+// newHistoryOf is a history with so many controllers, whose settings are changed by tune.
+func newHistoryOf(t *testing.T, seed uint64, n int, tune func(*settings.Settings)) *history {
+	h := &history{t: t, seed: seed, n: n, tune: tune, rng: rand.New(rand.NewPCG(seed, 2)), cores: make([]*Core, n), lives: make([]context.Context, n),
+		stop: make([]context.CancelFunc, n), cut: make([]bool, n), upTo: make([]int, n), deaf: map[wire.MachineID]bool{}}
+	set := h.settings(0)
 	h.world = standin.NewWorld(set.Cluster.Workers.Cancel.Duration())
 	h.world.TeamMax["capped"] = 4
 	h.store = standin.NewStore(set.Cluster.State.TxnOps, set.ValueBytes())
 	h.cloud = &standin.Cloud{World: h.world, Lag: 4 * time.Second, Lease: set.Cluster.Workers.Lease.Duration(), Most: 12,
 		Run:   func(t wire.TaskID) time.Duration { return time.Duration(5+int(t.Index)*7%40) * time.Second },
 		Types: []wire.Flavor{{Name: "g2", CPUs: 8, GPUs: 2, MemoryGB: 32, CacheGB: 50, FetchGBps: 1, Price: 4, SpotPrice: 1, Boot: 20, Zones: []wire.Zone{"a", "b"}}}}
-	for i := range 3 {
+	for i := range n {
 		l := standin.NewLink(h.store, seed*10+uint64(i))
 		l.Step = func(t wire.Txn, applied bool) { h.step(i, stepOf(t, applied)) }
 		h.links = append(h.links, l)
@@ -93,6 +103,15 @@
 	return h
 }
 
+// settings are a controller's.
+func (h *history) settings(i int) *settings.Settings {
+	set := parttest.SettingsOf(h.t, i, h.n)
+	if h.tune != nil {
+		h.tune(set)
+	}
+	return set
+}
+
 func (h *history) core(i int) *Core {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -107,7 +126,7 @@
 	if h.told != nil {
 		log = slog.New(listening{log.Handler(), h.told})
 	}
-	set := testSettings(h.t, i)
+	set := h.settings(i)
 	if h.past {
 		set.Operators.FormatUpTo = h.upTo[i]
 	}
@@ -138,7 +157,7 @@
 	h.group.Go(func() {
 		for ctx.Err() == nil {
 			clock.Sleep(ctx, time.Second)
-			for o := range 3 {
+			for o := range h.n {
 				p := h.core(o)
 				h.mu.Lock()
 				cut := h.cut[i] || h.cut[o]
@@ -299,19 +318,23 @@
 
 // work is a worker's loop, with lost answers and reports that arrive late.
 func (h *history) work(ctx context.Context, m *standin.Machine) {
-	at, retry := h.chance(3), false
+	at, retry := h.chance(h.n), false
 	for ctx.Err() == nil && !m.Gone() {
 		if !retry { // one that was sent elsewhere tries there a second later
-			clock.Sleep(ctx, time.Duration(2200+h.chance(1500))*time.Millisecond)
+			every := int(h.settings(0).Cluster.Workers.Report.Duration() / time.Millisecond)
+			clock.Sleep(ctx, time.Duration(every*3/4+h.chance(every/2))*time.Millisecond)
 		}
 		retry = false
 		r, begun := m.Report()
 		if r == nil {
 			continue
 		}
+		if h.reported != nil {
+			h.reported(at, r)
+		}
 		c := h.core(at)
 		if c == nil {
-			at, retry = (at+1)%3, true
+			at, retry = (at+1)%h.n, true
 			clock.Sleep(ctx, time.Second)
 			continue
 		}
@@ -322,7 +345,7 @@
 				clock.Sleep(ctx, d+time.Duration(h.chance(900))*time.Millisecond)
 				_ = c.Workers.Report(ctx, &late)
 			})
-			at = (at + 1 + h.chance(2)) % 3
+			at = (at + 1 + h.chance(h.n-1)) % h.n
 			clock.Sleep(ctx, 4*time.Second)
 			continue
 		}
@@ -335,33 +358,73 @@
 					_ = c.Workers.Report(ctx, &late)
 				}
 			})
-			at = (at + 1 + h.chance(2)) % 3
+			at = (at + 1 + h.chance(h.n-1)) % h.n
 			clock.Sleep(ctx, 4*time.Second)
 			continue
 		}
-		if h.copies && h.chance(3) == 0 { // it arrives once more, some time later
-			copied, delay := *r, time.Duration(h.chance(30_000))*time.Millisecond
+		if h.copies && h.chance(3) == 0 { // it arrives once more, some time later, wherever
+			copied, to, delay := *r, h.chance(h.n), time.Duration(1+h.chance(45_000))*time.Millisecond
 			h.group.Go(func() {
 				clock.Sleep(ctx, delay)
-				_ = c.Workers.Report(ctx, &copied)
+				if c := h.core(to); c != nil {
+					_ = c.Workers.Report(ctx, &copied)
+				}
 			})
 		}
 		a := c.Workers.Report(ctx, r)
 		switch {
 		case a.Status != 200:
-			at, retry = (at+1)%3, true
+			at, retry = (at+1)%h.n, true
 			clock.Sleep(ctx, time.Second)
-		case !h.calm && h.chance(15) == 0 || h.links[at].Frozen() > 0: // the answer is lost
+		case h.isDeaf(m.Type.ID) || !h.calm && h.chance(15) == 0 || h.links[at].Frozen() > 0: // the answer is lost
 		default:
 			m.Answer(begun, r.Session, a.Response)
 		}
 	}
 }
 
+func (h *history) isDeaf(m wire.MachineID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.deaf[m]
+}
+
+// hears makes a machine deaf, or ends that.
+func (h *history) hears(m wire.MachineID, hears bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deaf[m] = !hears
+}
+
+// alone has the state service refuse a controller, and cuts it from the others if it is to be.
+func (h *history) alone(i int, cut bool) (end func()) {
+	set := func(on bool) {
+		h.links[i].SetDown(on)
+		h.mu.Lock()
+		h.cut[i] = on && cut
+		h.mu.Unlock()
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+// outage has the state service down for all.
+func (h *history) outage() (end func()) {
+	for _, l := range h.links {
+		l.SetDown(true)
+	}
+	return func() {
+		h.store.Extend()
+		for _, l := range h.links {
+			l.SetDown(false)
+		}
+	}
+}
+
 // askAny asks any controller, again and again, until one answers.
 func askAny[T any](ctx context.Context, h *history, about string, f func(context.Context, *Core) (T, error)) (answer T, ok bool) {
 	for ctx.Err() == nil {
-		if c := h.core(h.chance(3)); c != nil {
+		if c := h.core(h.chance(h.n)); c != nil {
 			one, cancel := context.WithTimeout(ctx, 4*time.Second)
 			got, err := f(one, c)
 			cancel()
@@ -470,20 +533,41 @@
 
 // trouble makes one thing go wrong for a while.
 func (h *history) trouble(ctx context.Context) {
-	i, for_ := h.chance(3), time.Duration(2+h.chance(25))*time.Second
-	switch h.chance(11) {
-	case 9:
-		h.freeze(ctx, i, 2*for_)
-	case 10: // in an outage
+	i, for_ := h.chance(h.n), time.Duration(2+h.chance(25))*time.Second
+	switch h.chance(15) {
+	case 11: // transactions get no answer, and many are carried out after newer ones
 		for _, l := range h.links {
-			l.SetDown(true)
+			l.SetLossy(0.5)
 		}
-		h.group.Go(func() { h.freeze(ctx, i, for_+10*time.Second) })
 		clock.Sleep(ctx, for_)
-		h.store.Extend()
 		for _, l := range h.links {
-			l.SetDown(false)
+			l.SetLossy(h.lossy)
 		}
+	case 12:
+		if up := h.cloud.Up(); len(up) > 0 {
+			m := up[h.chance(len(up))].Type.ID
+			h.hears(m, false)
+			clock.Sleep(ctx, 2*for_+10*time.Second)
+			h.hears(m, true)
+		}
+	case 13: // refused alone, then all of them, for longer than a cancellation may take
+		end := h.alone(i, false)
+		clock.Sleep(ctx, for_/2)
+		over := h.outage()
+		clock.Sleep(ctx, h.world.CancelS+10*time.Second)
+		end()
+		over()
+	case 14: // users and workers still reach it
+		end := h.alone(i, true)
+		clock.Sleep(ctx, 2*for_)
+		end()
+	case 9:
+		h.freeze(ctx, i, 2*for_)
+	case 10:
+		over := h.outage()
+		h.group.Go(func() { h.freeze(ctx, i, for_+10*time.Second) })
+		clock.Sleep(ctx, for_)
+		over()
 	case 0, 1:
 		h.crash(i)
 		clock.Sleep(ctx, 5*time.Second)
@@ -491,11 +575,11 @@
 			h.startCore(ctx, i)
 		}
 	case 2:
-		for k := range 3 {
+		for k := range h.n {
 			h.crash(k)
 		}
 		clock.Sleep(ctx, 8*time.Second)
-		for k := range 3 {
+		for k := range h.n {
 			if h.core(k) == nil {
 				h.startCore(ctx, k)
 			}
@@ -505,14 +589,9 @@
 		clock.Sleep(ctx, for_)
 		h.links[i].SetDown(false)
 	case 4:
-		for _, l := range h.links {
-			l.SetDown(true)
-		}
+		over := h.outage()
 		clock.Sleep(ctx, for_)
-		h.store.Extend()
-		for _, l := range h.links {
-			l.SetDown(false)
-		}
+		over()
 	case 5:
 		if up := h.cloud.Up(); len(up) > 0 {
 			m := up[h.chance(len(up))]
@@ -568,7 +647,7 @@
 			h.finish(cancel)
 			return finished
 		case <-time.After(time.Second):
-			h.world.Check()
+			h.look()
 			if at%12 == 11 && !h.quiet && time.Duration(at)*time.Second < d*2/3 {
 				h.group.Go(func() { h.trouble(ctx) })
 			}
@@ -576,10 +655,19 @@
 	}
 }
 
+// look has leases end that are over by now and checks what is on machines.
+func (h *history) look() {
+	for _, m := range h.cloud.Up() {
+		m.Lapse()
+	}
+	h.world.Check()
+}
+
 // begin starts machines and all controllers.
 func (h *history) begin(ctx context.Context, machines int, lossy float64) {
+	h.lossy = lossy
 	for _, l := range h.links {
-		l.Lossy = lossy
+		l.SetLossy(lossy)
 	}
 	h.cloud.Started = func(m *standin.Machine) {
 		if h.dead != nil && h.dead(m) {
@@ -594,7 +682,7 @@
 	for i := range machines {
 		h.cloud.Add("g2", []wire.Zone{"a", "b"}[i%2], i%2 == 1)
 	}
-	for i := range 3 {
+	for i := range h.n {
 		h.startCore(ctx, i)
 	}
 }
@@ -647,9 +735,9 @@
 
 // finish ends all that runs and lets come what was delayed.
 func (h *history) finish(cancel context.CancelFunc) {
-	h.world.Check()
+	h.look()
 	cancel()
-	for i := range 3 {
+	for i := range h.n {
 		h.crash(i)
 	}
 	h.mu.Lock()
@@ -682,6 +770,14 @@
 	return 6
 }
 
+// slowFetches has some gangs' first task fetch for longer than the others wait for it.
+func slowFetches(_ wire.MachineID, t wire.TaskID) time.Duration {
+	if t.Index == 0 && t.Job[len(t.Job)-1]%3 == 0 {
+		return 40 * time.Second
+	}
+	return 3 * time.Second
+}
+
 // TestHistoriesKeepTheRules plays seeded histories with crashes, lost and late
 // messages, outages and lost machines, and checks every rule as it goes.
 func TestHistoriesKeepTheRules(t *testing.T) {
@@ -689,8 +785,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newHistory(t, seed)
-				h.past = seed%3 != 0
-				finished := h.play(8*time.Minute, 40, 0.03)
+				h.past, h.copies = seed%3 != 0, seed%2 == 0
+				h.world.Fetch = slowFetches
+				finished := h.play(10*time.Minute, 40, 0.03)
 				h.checkPast()
 				for _, b := range h.world.Broken {
 					t.Errorf("broken: %s", b)
--- /dev/null
+++ b/internal/controller/meetings_test.go
@@ -0,0 +1,139 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"maddermill/internal/clock"
+	"maddermill/internal/ledger"
+	"maddermill/wire"
+)
+
+// Each test here brings about a meeting of two troubles (docs/meetings.md) on several controllers.
+
+// meeting is a quiet history whose troubles a test makes by itself.
+func meeting(t *testing.T, seed uint64, n int) *history {
+	h := newHistoryOf(t, seed, n, nil)
+	h.quiet, h.calm = true, true
+	return h
+}
+
+// pass lets time go by, with the rules checked all the while.
+func (h *history) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(200 * time.Millisecond)
+		h.look()
+	}
+}
+
+// submit has a job accepted by any controller.
+func (h *history) submit(ctx context.Context, s *wire.JobSpec) {
+	if s.Class == "" {
+		s.Class, s.Team, s.Priority, s.CPUs, s.MemoryGB, s.Image, s.ImageGB, s.Spot, s.Estimate = "c", "free", wire.Normal, 1, 1, "img-0", 2, true, 60
+	}
+	h.world.Upload(s)
+	_, _ = askAny(ctx, h, string(s.ID), func(ctx context.Context, c *Core) (wire.JobStatus, error) {
+		st, _, err := c.Users.Submit(ctx, s)
+		return st, err
+	})
+}
+
+// ask asks about a job until it is answered.
+func (h *history) ask(ctx context.Context, id wire.JobID) wire.Status {
+	st, ok := askAny(ctx, h, string(id), func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Status(ctx, id) })
+	if ok {
+		h.world.Told(id, st.Status)
+	}
+	return st.Status
+}
+
+// attempt is the last attempt of a job's first tasks, and up to which it is to stop, as the
+// records have it.
+func (h *history) attempt(id wire.JobID) (last, stop wire.Attempt) {
+	for i := range h.n {
+		if c := h.core(i); c != nil {
+			c.mirror.Read(func(l *ledger.Ledger) {
+				if j := l.Job(id); j != nil {
+					last, stop = max(last, j.Attempt()), max(stop, j.Stop)
+				}
+			})
+		}
+	}
+	return last, stop
+}
+
+// verdict ends a history and tells what was broken.
+func (h *history) verdict(cancel context.CancelFunc) {
+	h.t.Helper()
+	h.finish(cancel)
+	for _, b := range h.world.Broken {
+		h.t.Errorf("broken: %s", b)
+	}
+	for _, p := range h.store.Problems {
+		h.t.Errorf("state service: %s", p)
+	}
+}
+
+// TestOldReportOfAWaitingGang: a gang's task gives up waiting and rejoins under its attempt. A
+// copy of the report that showed it given up arrives later, at a controller that never held the
+// machine, or at its holder's next life. The attempt that now runs must go on: before, its claim
+// was released, and the gang stopped for nothing, or started once more beside it.
+func TestOldReportOfAWaitingGang(t *testing.T) {
+	for _, after := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 12 * time.Second, 40 * time.Second} {
+		for _, where := range []string{"another", "its next life"} {
+			t.Run(fmt.Sprintf("%v, %s", after, where), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := meeting(t, 7, 3)
+					gang := &wire.JobSpec{ID: "wk-000003", Shape: wire.Gang, Tasks: 2, GPUs: 2}
+					h.world.Fetch = func(_ wire.MachineID, task wire.TaskID) time.Duration {
+						if task.Index == 0 {
+							return 45 * time.Second
+						}
+						return 3 * time.Second
+					}
+					h.cloud.Run = func(wire.TaskID) time.Duration { return 70 * time.Second }
+					ctx, cancel := context.WithCancel(t.Context())
+					copies := 0
+					h.reported = func(at int, r *wire.Report) {
+						for i := range r.Tasks {
+							if r.Tasks[i].Cause != wire.CauseAlone || copies > 0 {
+								continue
+							}
+							copies++
+							copied := *r
+							h.group.Go(func() {
+								to := (at + 1) % h.n
+								if where != "another" {
+									clock.Sleep(ctx, after/2)
+									h.crash(at)
+									clock.Sleep(ctx, 200*time.Millisecond)
+									h.restart(ctx, at)
+									to = at
+								}
+								clock.Sleep(ctx, after)
+								if c := h.core(to); c != nil {
+									_ = c.Workers.Report(ctx, &copied)
+								}
+							})
+						}
+					}
+					h.begin(ctx, 4, 0)
+					h.submit(ctx, gang)
+					h.pass(100 * time.Second)
+					last, stop := h.attempt(gang.ID)
+					h.pass(60 * time.Second)
+					if st := h.ask(ctx, gang.ID); st != wire.Done || where == "another" && (last != 1 || stop != 0) {
+						t.Errorf("it is %s after attempt %d, stopped up to %d", st, last, stop)
+					}
+					if copies != 1 {
+						t.Errorf("%d reports of giving up", copies)
+					}
+					h.verdict(cancel)
+				})
+			})
+		}
+	}
+}
--- a/internal/parttest/parttest.go
+++ b/internal/parttest/parttest.go
@@ -29,21 +29,24 @@
 )
 
 // Settings are those of one of three members of a small deployment.
-func Settings(t testing.TB, member int) *settings.Settings {
+func Settings(t testing.TB, member int) *settings.Settings { return SettingsOf(t, member, 3) }
+
+// SettingsOf are those of one of so many members.
+func SettingsOf(t testing.TB, member, count int) *settings.Settings {
 	t.Helper()
 	var b strings.Builder
 	fmt.Fprintf(&b, "member = \"m-%d\"\nzone = \"a\"\nbind = \"127.0.0.1:1\"\nmesh_addr = \"127.0.0.1:2\"\n", member)
-	for i := range 3 {
+	for i := range count {
 		if i != member {
 			fmt.Fprintf(&b, "[[seeds]]\nmember = \"m-%d\"\nzone = \"a\"\naddress = \"127.0.0.1:3\"\n", i)
 		}
 	}
-	b.WriteString(`
+	fmt.Fprintf(&b, `
 [outside]
 cloud = "127.0.0.1:4"
 state = "127.0.0.1:5"
 [settings]
-count = 3
+count = %d
 zones = ["a", "b"]
 [[settings.teams]]
 name = "free"
@@ -65,7 +68,7 @@
 [settings.cloud]
 rps = 2.0
 list_lag_s = 4.0
-`)
+`, count)
 	s, err := settings.Parse([]byte(b.String()))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -197,6 +197,7 @@
 	rng    *rand.Rand
 	down   bool
 	frozen time.Time // until when its process stands still
+	slow   time.Duration
 	// Step, if set, is called before a transaction is sent and after it is applied.
 	Step func(t wire.Txn, applied bool)
 	// Loads, if set, is called when a reading of all records begins and after each page of it.
@@ -205,9 +206,9 @@
 	Pages int
 	// Copies has every transaction that was carried out arrive once more, some seconds later.
 	Copies bool
-	// Lossy is the share of transactions whose answer is lost; half of those
-	// are applied late.
-	Lossy float64
+	// lossy is the share of transactions whose answer is lost; half of those are applied
+	// 2 to 12 s late, after newer ones.
+	lossy float64
 }
 
 // NewLink returns a link whose troubles follow from the seed.
@@ -222,6 +223,26 @@
 	l.mu.Unlock()
 }
 
+// SetSlow has every request take so long on its way, and every answer.
+func (l *Link) SetSlow(d time.Duration) {
+	l.mu.Lock()
+	l.slow = d
+	l.mu.Unlock()
+}
+
+// SetLossy sets the share of transactions whose answer is lost.
+func (l *Link) SetLossy(share float64) {
+	l.mu.Lock()
+	l.lossy = share
+	l.mu.Unlock()
+}
+
+func (l *Link) share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lossy
+}
+
 func (l *Link) roll() (down bool, luck float64, delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -229,6 +250,7 @@
 	if l.rng.IntN(50) == 0 {
 		delay = 300 * time.Millisecond
 	}
+	delay += l.slow
 	return l.down, l.rng.Float64(), delay
 }
 
@@ -310,9 +332,10 @@
 	if err := l.travel(ctx); err != nil {
 		return 0, err
 	}
-	if _, luck, _ := l.roll(); luck < l.Lossy {
-		if luck < l.Lossy/2 {
-			l.applyLate(t, time.Duration(luck/l.Lossy*20*float64(time.Second)))
+	lossy := l.share()
+	if _, luck, _ := l.roll(); luck < lossy {
+		if part := luck / lossy; part < 0.5 {
+			l.applyLate(t, 2*time.Second+time.Duration(part*20*float64(time.Second)))
 		} else {
 			_, _ = l.Store.Apply(t)
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,8 +24,9 @@
 	Broken  []string
 	Starts  int
 
-	Finished func(wire.TaskID)                      // called before a task is reported as done, if given
-	Fails    func(wire.MachineID, wire.TaskID) bool // a task ends with an error there, if given
+	Finished func(wire.TaskID)                               // called before a task is reported as done, if given
+	Fails    func(wire.MachineID, wire.TaskID) bool          // a task ends with an error there, if given
+	Fetch    func(wire.MachineID, wire.TaskID) time.Duration // of an image, if not usualFetch
 }
 
 // mate is a gang's task as its mates see it.
@@ -261,11 +262,7 @@
 	m.World.mu.Lock()
 	defer m.World.mu.Unlock()
 	now := time.Now()
-	if now.Sub(m.renewed) > m.Lease {
-		m.kill()
-		m.session++
-		m.tally, m.renewed = 0, now
-	}
+	m.lapse(now)
 	for t, r := range m.tasks {
 		m.step(t, r, now)
 	}
@@ -278,6 +275,37 @@
 	return rep, now
 }
 
+// lapse begins a new session if the lease is over.
+func (m *Machine) lapse(now time.Time) {
+	if now.Sub(m.renewed) > m.Lease {
+		m.kill()
+		m.session++
+		m.tally, m.renewed = 0, now
+	}
+}
+
+// Lapse has the lease end if its time is over; else it ends with the next report.
+func (m *Machine) Lapse() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone || m.hung {
+		return
+	}
+	m.World.mu.Lock()
+	defer m.World.mu.Unlock()
+	m.lapse(time.Now())
+}
+
+// usualFetch is how long an image is fetched for, unless the world says otherwise.
+const usualFetch = 3 * time.Second
+
+func (m *Machine) fetch(t wire.TaskID) time.Duration {
+	if m.World.Fetch != nil {
+		return m.World.Fetch(m.Type.ID, t)
+	}
+	return usualFetch
+}
+
 func (m *Machine) step(t wire.TaskID, r *runningTask, now time.Time) {
 	w := m.World
 	spec := w.specs[t.Job]
@@ -358,7 +386,7 @@
 			if r != nil && r.state != wire.TaskExited {
 				continue // busy: the next report shows the other attempt
 			}
-			n := &runningTask{attempt: c.Attempt, state: wire.TaskFetching, until: now.Add(3 * time.Second)}
+			n := &runningTask{attempt: c.Attempt, state: wire.TaskFetching, until: now.Add(m.fetch(c.Task))}
 			used := 0.0
 			for t, o := range m.tasks {
 				if o.state != wire.TaskExited {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -124,6 +124,11 @@
 				// The report is from before the claim's session.
 			case t != nil && w.rejoins(h, t):
 				// It is sent again under its claim.
+			case t != nil && t.State == wire.TaskExited && t.Cause == wire.CauseAlone && (!w.Fresh || h.Token > hold):
+				// Whoever holds the machine may have it wait on under the same attempt: an old
+				// report of its giving up, taken by another controller, proves nothing. Once the
+				// worker has accepted our token nobody else can.
+				f.Seen = append(f.Seen, Seen{h, task, t.State})
 			case t != nil && t.State == wire.TaskExited:
 				e := Exit{Held: h, Task: task, Cause: t.Cause, Saved: t.Saved}
 				if since, ok := w.since[id]; ok {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -24,6 +24,12 @@
 	return wire.TaskReport{Task: wire.TaskID{Job: "wk-000001", Index: 0}, Attempt: attempt, State: state}
 }
 
+func alone(attempt wire.Attempt) wire.TaskReport {
+	t := task(wire.TaskExited, attempt)
+	t.Cause = wire.CauseAlone
+	return t
+}
+
 // TestProof: a claim is over only when the report proves it; silence, a report
 // under another token and one from before the start was sent prove nothing.
 func TestProof(t *testing.T) {
@@ -44,6 +50,9 @@
 		{"a later session", held(1, 8, ""), report(2, 1, 5), 0, 1},
 		{"an earlier session", held(2, 5, ""), report(1, 9, hold), 0, 0},
 		{"exited", held(1, 8, ""), report(1, 9, 5, task(wire.TaskExited, 3)), 0, 1},
+		{"gave up waiting for its gang, worker has not accepted ours: its holder may have it rejoin", held(1, 5, ""), report(1, 9, 5, alone(3)), 0, 0},
+		{"gave up waiting for its gang under a lower token, worker has accepted ours", held(1, 5, ""), report(1, 9, hold, alone(3)), 0, 1},
+		{"gave up waiting for its gang, ours and not wanted", held(1, hold, ledger.Cancelled), report(1, 9, hold, alone(3)), 0, 1},
 		{"another attempt exited", held(1, 8, ""), report(1, 9, hold, task(wire.TaskExited, 2)), 0, 0},
 		{"running", held(1, 5, ledger.Cancelled), report(1, 9, hold, task(wire.TaskRunning, 3)), 0, 0},
 	} {
