Machines that hear no answer are found out and given nothing until they hear

Need: a machine whose reports arrive while answers to it are lost looks free. It was given work again and again; each gang placed there waited for its lease to end.

Change: a worker counts as deaf after two answers in a row that had no effect (token or starts don't follow), or when a session begins within a lease of an answered report. Nothing is placed there, starts that were lost are released on proof (a later report of ours without them, never sent again), the fleet's plan counts on it no longer than on a silent one, and it serves again once it shows a token that only a later answer can have told it.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -150,6 +150,15 @@
 		})
 		return float64(k)
 	})
+	gauge("machines_deaf", func(*ledger.Ledger) float64 {
+		k := 0
+		c.roster.Each(func(w *workers.Worker) {
+			if w.Deaf() {
+				k++
+			}
+		})
+		return float64(k)
+	})
 	gauge("machines_awaited", func(*ledger.Ledger) float64 { k, _ := c.lead.Awaited(); return float64(k) })
 	gauge("machines_overdue", func(*ledger.Ledger) float64 { _, k := c.lead.Awaited(); return float64(k) })
 	gauge("machines_held", func(*ledger.Ledger) float64 { return float64(c.roster.Len()) })
@@ -239,7 +248,7 @@
 			return
 		}
 		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold,
-			Endpoint: c.Places.EndpointOf(w), AgeMS: now.Sub(w.Heard).Milliseconds(), Usable: c.schedule.Usable(w, now), Faulty: c.book.Faulty(led, w.ID, now), Slow: c.book.Slow(w.ID)}
+			Endpoint: c.Places.EndpointOf(w), AgeMS: now.Sub(w.Heard).Milliseconds(), Usable: c.schedule.Usable(w, now), Faulty: c.book.Faulty(led, w.ID, now), Slow: c.book.Slow(w.ID), DeafMS: w.DeafFor(now).Milliseconds()}
 		if m.Faulty {
 			m.Why = c.book.Why(w.ID)
 		}
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -137,3 +137,57 @@
 		}
 	}
 }
+
+// TestDeafMachine: the reports of a machine arrive, answers to it don't. Nothing is left claimed there
+// for long, gangs start on the others, and it serves again when it hears. Before, it looked free and
+// was given work again and again, and each gang placed there waited for a lease.
+func TestDeafMachine(t *testing.T) {
+	for _, shape := range []wire.Shape{wire.Array, wire.Gang} {
+		t.Run(string(shape), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := meeting(t, 9, 3)
+				h.cloud.Run = func(wire.TaskID) time.Duration { return 6 * time.Second }
+				h.cloud.Most = 4
+				ctx, cancel := context.WithCancel(t.Context())
+				h.begin(ctx, 4, 0)
+				tasks := 3 // of four machines, one of which is deaf
+				if shape == wire.Array {
+					tasks = 8
+				}
+				const every, jobs = 15 * time.Second, 8
+				for i := range jobs {
+					h.group.Go(func() {
+						clock.Sleep(ctx, time.Millisecond+time.Duration(i)*every)
+						h.submit(ctx, &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Shape: shape, Tasks: tasks, GPUs: 2})
+					})
+				}
+				h.pass(20 * time.Second)
+				deaf := h.cloud.Up()[0].Type.ID
+				claimed := func() (n int) {
+					h.core(0).mirror.Read(func(l *ledger.Ledger) { n = len(l.HeldBy(deaf)) })
+					return n
+				}
+				h.hears(deaf, false)
+				h.pass(25 * time.Second)
+				idle := 0
+				for range 75 {
+					h.pass(time.Second)
+					if claimed() > 0 {
+						idle++
+					}
+				}
+				done := h.world.DoneTasks()
+				h.hears(deaf, true)
+				// A gang that needs all four shows that it serves again.
+				all := &wire.JobSpec{ID: "wk-000099", Shape: wire.Gang, Tasks: 4, GPUs: 2}
+				h.submit(ctx, all)
+				h.pass(45 * time.Second)
+				t.Logf("claimed there in %d of 75 s while deaf, %d tasks done while deaf", idle, done)
+				if idle > 8 || done < 18 || h.world.Seen(all.ID) < 4 {
+					t.Errorf("claimed there in %d of 75 s while deaf, %d tasks done while deaf, %d of 4 tasks begun afterwards", idle, done, h.world.Seen(all.ID))
+				}
+				h.verdict(cancel)
+			})
+		})
+	}
+}
--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -126,7 +126,15 @@
 	if w.Session != 0 && r.Session > w.Session {
 		c.log.Info("machine began a new session", "machine", r.Machine, "session", r.Session)
 	}
+	deaf := w.Deaf()
+	w.Lapsed(r, began, c.set.Cluster.Workers.Lease.Duration()-lateReport)
 	f := w.Take(r, c.led().HeldBy(r.Machine), hold, began)
+	if w.Deaf() != deaf {
+		c.log.Warn("machine hears", "machine", r.Machine, "hears", deaf)
+		if !deaf {
+			c.stats.Add("machines_deaf_total", 1)
+		}
+	}
 	c.learn(w, &f, began)
 	if a, ok := c.passOn(w, &f, began); ok {
 		return a
@@ -176,10 +184,14 @@
 			}
 		}
 	}
+	w.Answered(began)
 	c.stats.Took("report_seconds", now.Sub(began))
 	return ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: w.Hold, Commands: cmds}}
 }
 
+// lateReport is how old a report may be when it comes, for its worker to take the answer.
+const lateReport = 5 * time.Second
+
 // redirectEvery is how often a worker is sent to another controller at most: one
 // that can't reach the other must not lose its lease over it.
 const redirectEvery = 12 * time.Second
@@ -197,9 +209,17 @@
 
 // holdToken chooses the token to command a worker under: the one it is held
 // under already while the worker has seen no higher one, else a newer one of
-// ours. It may wait for that with the lock released.
+// ours. It may wait for that with the lock released. One that seems deaf is to show a
+// token that it has not seen before, which is not waited for.
 func (c *Workers) holdToken(ctx context.Context, w *workers.Worker, r *wire.Report) (wire.Token, bool) {
 	if w.Hold != 0 && r.Token <= w.Hold {
+		switch t := c.Mirror.Token(); {
+		case w.Proves(w.Hold):
+		case w.Proves(t):
+			return t, true
+		default:
+			c.Mirror.WantToken(t)
+		}
 		return w.Hold, true
 	}
 	for r.Token > c.Mirror.Token() {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -190,6 +190,7 @@
 	faulty bool
 	// evidence is why, in a few words, where machines are judged by it.
 	evidence string
+	deaf     time.Duration // for which answers to its reports have not arrived
 	idle     time.Time
 }
 
@@ -336,10 +337,11 @@
 		if at.After(u.heard) {
 			u.Type, u.Zone, u.Spot = m.Type, m.Zone, m.Spot
 			u.heard, u.holder, u.recall, u.faulty, u.evidence = at, by, m.Recall != 0, m.Faulty, m.Why
+			u.deaf = time.Duration(m.DeafMS) * time.Millisecond
 		}
 	}
 	c.Roster.Each(func(w *workers.Worker) {
-		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Faulty: c.Book.Faulty(c.led(), w.ID, now)}
+		m := mesh.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Faulty: c.Book.Faulty(c.led(), w.ID, now), DeafMS: w.DeafFor(now).Milliseconds()}
 		if m.Faulty {
 			m.Why = c.Book.Why(w.ID)
 		}
@@ -669,7 +671,7 @@
 		n := fleet.Unit{ID: id, Type: u.Type, Zone: u.Zone, Spot: u.Spot, Booting: booting, IdleSince: u.idle,
 			// One that is up but has yet to accept our token will take tasks in a
 			// moment; not to count it would rent another in its place.
-			Usable: booting && !now.Before(l.dark[u.Zone]) && !l.boots.Overdue(u.kind(), u.hired, f.Boot.Duration(), now) || !booting && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter}
+			Usable: booting && !now.Before(l.dark[u.Zone]) && !l.boots.Overdue(u.kind(), u.hired, f.Boot.Duration(), now) || !booting && !u.recall && !u.faulty && now.Sub(u.heard) < c.set.Operators.LostAfter && u.deaf < c.set.Operators.LostAfter}
 		if m := v.Machine(id); m != nil {
 			n.Caches = m.Images.Has
 			if under := m.Images.Under(); len(under) > 0 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,6 +44,7 @@
 	Endpoint string          `cbor:"13,keyasint,omitempty" json:"e,omitempty"` // where a topology is declared
 	Slow     bool            `cbor:"14,keyasint,omitempty" json:"-"`
 	Why      string          `cbor:"15,keyasint,omitempty" json:"-"` // it is judged faulty, in a few words
+	DeafMS   int64           `cbor:"16,keyasint,omitempty" json:"-"` // since answers to its reports are believed not to arrive; 0: they do
 }
 
 // Status is a controller's picture.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -98,9 +98,9 @@
 func (s *Scheduler) Made() int { return s.made }
 
 // Usable reports whether a machine held here may be given tasks. A worker just taken over
-// must first report under our token.
+// must first report under our token, and one that does not hear answers begins nothing.
 func (s *Scheduler) Usable(w *workers.Worker, now time.Time) bool {
 	_, known := s.led().Flavor(w.Type)
-	return known && w.Fresh && w.Recall.IsZero() && s.led().Mark(w.ID) == "" && !now.Before(w.NoPlace) &&
+	return known && w.Fresh && !w.Deaf() && w.Recall.IsZero() && s.led().Mark(w.ID) == "" && !now.Before(w.NoPlace) &&
 		(s.doubted[evidence.Kind{Type: w.Type, Zone: w.Zone}] || !s.book.Faulty(s.led(), w.ID, now))
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -39,6 +39,8 @@
 	dropped map[claimID]bool           // claimed beside others that fill the machine, never sent
 	running map[claimID]wire.TaskState // as last reported
 	since   map[claimID]time.Time      // when a task was first seen running
+	tokens  []wire.Token               // that it was held under in this session, before Hold
+	hears   hearing
 }
 
 // NewWorker returns a worker first heard now.
@@ -83,7 +85,8 @@
 // passed; or when the task is not there in a report that was sent under our
 // token, if the start can't be under way: it was claimed under a lower token,
 // whose holder's answers the worker now drops, or we never sent it, or the
-// report was begun after the answer that carried it.
+// report was begun after the answer that carried it. Of a start that only we could
+// have sent, and will not send any more, the last two prove it under any token.
 func (w *Worker) Take(r *wire.Report, held []ledger.Held, hold wire.Token, now time.Time) Findings {
 	if r.Session != w.Session {
 		clear(w.stop)
@@ -91,6 +94,9 @@
 		clear(w.dropped)
 		clear(w.running)
 		clear(w.since)
+		w.tokens, w.hears.tally = nil, 0
+	} else if hold != w.Hold {
+		w.tokens = append(w.tokens, w.Hold)
 	}
 	w.Session, w.Tally, w.Heard, w.Hold = r.Session, r.Tally, now, hold
 	w.Addr, w.Type, w.Zone, w.Spot = r.Addr, r.Type, r.Zone, r.Spot
@@ -110,6 +116,7 @@
 			w.since[id] = now
 		}
 	}
+	w.listens(r, held, there, now)
 	var f Findings
 	dropped := w.dropped
 	w.dropped = map[claimID]bool{}
@@ -137,11 +144,10 @@
 				f.Exits = append(f.Exits, e)
 			case t != nil:
 				f.Seen = append(f.Seen, Seen{h, task, t.State})
-			case !w.Fresh:
-			case h.Token < hold:
+			case w.Fresh && h.Token < hold:
 				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
-			case h.Token == hold && (!w.wanted(h) || dropped[id]):
-				w.dropped[id] = dropped[id]
+			case h.Token == hold && (w.Fresh && !w.wanted(h) || dropped[id] || w.hears.deaf) || slices.Contains(w.tokens, h.Token):
+				w.dropped[id] = dropped[id] || w.hears.deaf
 				if sent, ok := w.sent[id]; !ok || r.Tally > sent {
 					f.Exits = append(f.Exits, Exit{Held: h, Task: task})
 				}
