A controller that reaches nobody for 8 s sends users away; all jobs of histories must end

Cause: one cut from the state service and its peers knew of nobody better off and told the balancer that it was healthy.

Change: healthy without the state service only while some peer was heard within 8 s, or it has just started. Histories of returns now play on until every accepted job is done, and fail if one is not (before: half of them).

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -196,16 +196,33 @@
 // A controller that has just started is thus healthy while it reads the records, for which
 // requests wait: one that is removed comes back after 3 s at the earliest, and after a minute if
 // it ended again and again. One that starts in an outage that all have is not removed either,
-// or nobody would be there to answer when it is over.
+// or nobody would be there to answer when it is over. One that for a while reaches neither the state
+// service nor any other controller can't tell whether it alone is cut off: users that keep their
+// connections to it would never be answered, so it sends them away.
 func (c *Core) Healthy() bool {
 	now := time.Now()
 	c.mirror.Lock()
 	ready, contact := c.mirror.Loaded(), c.mirror.Contact()
 	c.mirror.Unlock()
+	if ready && now.Sub(contact) < 2500*time.Millisecond {
+		return true
+	}
 	// If another is answered it is only this controller that is refused.
-	return ready && now.Sub(contact) < 2500*time.Millisecond || !c.members.OthersReach(now)
+	if c.members.OthersReach(now) {
+		return false
+	}
+	last := c.boot
+	for _, at := range []time.Time{contact, c.members.LastHeard()} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return len(c.set.Peers) == 0 || now.Sub(last) < cutOff
 }
 
+// cutOff is how long a controller is healthy that reaches nobody.
+const cutOff = 8 * time.Second
+
 // Topology tells of the declared topology, its machines and the gangs on them, as this
 // controller sees them. It tells false while there is none.
 func (c *Core) Topology(now time.Time) (wire.TopologyView, bool) {
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -191,3 +191,38 @@
 		})
 	}
 }
+
+// TestCutFromStateAndPeers: the leader loses the state service and the other controllers for longer
+// than a job may be unanswered about; workers and users still reach it. Users that keep their
+// connections are answered by others soon, and what others cancel ends in time. Before, it told the
+// balancer that it was healthy, since it knew of nobody better off, and users that had connected to it
+// were refused for as long as the cut lasted.
+func TestCutFromStateAndPeers(t *testing.T) {
+	for _, n := range []int{3, 7} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newReturnsOf(t, 13, n, 0)
+				r.keeps, r.calm = true, true
+				r.most = 0
+				at, old, end := 0, 0, func() {}
+				r.check(24, func() {
+					switch at++; at {
+					case 10:
+						old = r.leading()
+						end = r.alone(old, true)
+					case 115:
+						end()
+					}
+					if c := r.core(old); at > 30 && at < 115 && c.Healthy() {
+						t.Errorf("healthy %d s after it was cut off", at-10)
+					}
+				})
+				for id, job := range r.asked {
+					if job.longest > 30*time.Second {
+						t.Errorf("nobody was told of %s for %v", id, job.longest)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/controller/returns_test.go
+++ b/internal/controller/returns_test.go
@@ -27,6 +27,7 @@
 	back     time.Duration // how soon an ended controller is back
 	most     int           // ends
 	every    time.Duration // between two ends of all, at least
+	keeps    bool          // users keep their connections
 
 	seen   sync.Mutex
 	ends   int
@@ -46,12 +47,16 @@
 }
 
 func newReturns(t *testing.T, seed uint64, back time.Duration) *returns {
-	r := &returns{history: newHistory(t, seed), back: back, most: 12, every: 400 * time.Millisecond, asked: map[wire.JobID]*asker{}}
+	return newReturnsOf(t, seed, 3, back)
+}
+
+func newReturnsOf(t *testing.T, seed uint64, n int, back time.Duration) *returns {
+	r := &returns{history: newHistoryOf(t, seed, n, nil), back: back, most: 12, every: 400 * time.Millisecond, asked: map[wire.JobID]*asker{}}
 	r.quiet, r.copies, r.past = true, true, true
 	for _, l := range r.links {
 		l.Copies = true
 	}
-	r.balancer = standin.NewBalancer(3, seed, func(i int) bool {
+	r.balancer = standin.NewBalancer(n, seed, func(i int) bool {
 		c := r.core(i)
 		return c != nil && c.Healthy()
 	})
@@ -91,10 +96,15 @@
 	r.world.Upload(spec)
 	job := &asker{}
 	submitted := false
+	at := -1
 	for r.ctx.Err() == nil {
 		var st wire.JobStatus
 		err := errors.New("no controller")
-		i := r.balancer.Connect(func(i int) bool { return r.core(i) != nil })
+		i := at
+		if i < 0 || !r.keeps || r.core(i) == nil || r.balancer.Resets(i) {
+			i = r.balancer.Connect(func(i int) bool { return r.core(i) != nil })
+			at = i
+		}
 		if c := r.coreAt(i); c != nil {
 			wait := 2 * time.Second
 			if !submitted {
@@ -166,6 +176,18 @@
 	job.answered = now
 }
 
+// allDone reports whether so many jobs were accepted, and all are done.
+func (r *returns) allDone(jobs int) bool {
+	r.seen.Lock()
+	defer r.seen.Unlock()
+	for _, job := range r.asked {
+		if job.status != wire.Done {
+			return false
+		}
+	}
+	return len(r.asked) == jobs
+}
+
 // check has users come for a while, ends the troubles and looks at what became of the jobs.
 func (r *returns) check(jobs int, troubles func()) {
 	ctx, cancel := context.WithCancel(r.t.Context())
@@ -189,7 +211,7 @@
 	r.seen.Lock()
 	r.calmed = time.Now()
 	r.seen.Unlock()
-	for range 180 {
+	for at := 0; at < 180 || at < 1200 && !r.allDone(jobs); at++ {
 		time.Sleep(time.Second)
 		r.world.Check()
 	}
@@ -217,7 +239,7 @@
 	for _, p := range r.store.Problems {
 		r.t.Errorf("state service: %s", p)
 	}
-	if accepted < jobs || done < jobs/2 {
+	if accepted < jobs || done < jobs {
 		r.t.Errorf("%d of %d jobs accepted, %d done", accepted, jobs, done)
 	}
 	r.t.Logf("back after %v, %d ends: %d of %d questions in vain; a job's longest wait for an answer %v, %v once troubles were over; %d removals by the balancer, the longest pause %v; %d of %d jobs done",
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -131,6 +131,16 @@
 	})
 }
 
+// LastHeard is when another controller last told anything; zero: never.
+func (m *Members) LastHeard() (at time.Time) {
+	for _, p := range m.Peers() {
+		if p.Asked.After(at) {
+			at = p.Asked
+		}
+	}
+	return at
+}
+
 // AllRead reports whether every controller says that it reads a format of records.
 func (m *Members) AllRead(format int) bool {
 	for _, o := range m.Others(time.Now()) {
--- a/internal/standin/balancer.go
+++ b/internal/standin/balancer.go
@@ -41,6 +41,7 @@
 	longestPause = time.Minute
 	remembered   = 2 * time.Minute
 	triedAtOnce  = 3
+	resetAfter   = 5 * time.Second
 )
 
 // NewBalancer returns a balancer that has probed nobody.
@@ -88,6 +89,14 @@
 	}
 }
 
+// Resets reports whether a node has been unhealthy for so long that its connections are reset.
+func (b *Balancer) Resets(node int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := &b.nodes[node]
+	return n.known && !n.healthy && time.Since(n.removed) >= resetAfter
+}
+
 // Connect tries healthy nodes, three at the most, and returns the first that accepts, or -1.
 func (b *Balancer) Connect(accepts func(node int) bool) int {
 	b.mu.Lock()
