Peers hand over what they cancelled, so a refused leader goes on answering the rest; tests of meetings

Need: a leader refused alone, before an outage for all, could only fall silent once another controller had told of a cancellation, and all of its machines lost their work with their leases.

Change: who asks over the mesh says its revision; the answer lists the jobs cancelled since, and says whether that is all of them. They count as doomed in the asker's ledger (stopped, never started) before the status may vouch for it; after a new reading of the records they are noted again. The list is bounded; where it does not fit nobody vouches. The record of rentals is also conditioned on its own version, and published pictures older than one known are passed over.

--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -23,6 +23,9 @@
 		{"one of two answers", []mesh.Answer{answerOf("m-1", fresh, 5, true, 0)}, old},
 		{"both vouch: the older answer counts", []mesh.Answer{answerOf("m-1", fresh, 5, true, 0), answerOf("m-2", fresher, 7, true, 0)}, fresh},
 		{"one told of a cancellation that this ledger lacks", []mesh.Answer{answerOf("m-1", fresh, 8, true, 0), answerOf("m-2", fresh, 7, true, 0)}, old},
+		{"one lists what this ledger lacks, from where it is", []mesh.Answer{listing(answerOf("m-1", fresh, 9, true, 0), 7, true), answerOf("m-2", fresher, 7, true, 0)}, fresh},
+		{"one lists what a newer ledger lacks", []mesh.Answer{listing(answerOf("m-1", fresh, 9, true, 0), 8, true), answerOf("m-2", fresher, 7, true, 0)}, old},
+		{"one can't list all", []mesh.Answer{listing(answerOf("m-1", fresh, 9, true, 0), 7, false), answerOf("m-2", fresher, 7, true, 0)}, old},
 		{"one has restarted and knows nothing", []mesh.Answer{answerOf("m-1", fresh, 0, false, 0), answerOf("m-2", fresh, 7, true, 0)}, old},
 	} {
 		c := quietCore(t, 0)
@@ -41,6 +44,11 @@
 	}
 }
 
+func listing(a mesh.Answer, since wire.Revision, whole bool) mesh.Answer {
+	a.Status.Since, a.Status.Whole, a.Status.Ended = since, whole, []wire.JobID{"wk-000001"}
+	return a
+}
+
 // TestHealthy: a controller that alone is refused sends users elsewhere; one that
 // shares an outage with all others stays, since leaving would gain nobody anything.
 func TestHealthy(t *testing.T) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -241,9 +241,30 @@
 }
 
 // statusFor answers a peer that asks over the mesh.
-func (c *Core) statusFor(peer wire.MemberID) mesh.Status {
-	c.members.Asks(peer, time.Now())
-	return c.status()
+func (c *Core) statusFor(ask mesh.Status) mesh.Status {
+	c.members.Asks(ask.Member, time.Now())
+	s := c.status()
+	if s.Cancelled > ask.Revision {
+		c.mirror.Read(func(l *ledger.Ledger) {
+			// Read after the status: it may hold more, and vouches for no more than it lists.
+			s.Ended, s.Whole = l.CancelledSince(ask.Revision)
+			s.Since, s.Cancelled = ask.Revision, l.LastCancel()
+		})
+		if len(s.Ended) > mostEnded {
+			s.Ended, s.Whole = nil, false
+		}
+	}
+	return s
+}
+
+// mostEnded is how many cancellations a peer is told of at once: those of a refusal that lasts.
+const mostEnded = 400
+
+// question is what this controller says of itself when it asks a peer.
+func (c *Core) question() mesh.Status {
+	s := mesh.Status{Member: c.set.Member}
+	c.mirror.Read(func(l *ledger.Ledger) { s.Revision = l.Revision() })
+	return s
 }
 
 // status is what this controller tells its peers.
@@ -281,10 +302,18 @@
 	return s
 }
 
+// doom notes in a ledger what a peer lists as cancelled.
+func doom(l *ledger.Ledger, s *mesh.Status) {
+	for _, id := range s.Ended {
+		l.Doom(id)
+	}
+}
+
 // heardPeer takes in what a peer told.
 func (c *Core) heardPeer(a mesh.Answer) {
-	c.members.Heard(a.Status, a.Asked)
 	c.mirror.Read(func(l *ledger.Ledger) {
+		doom(l, &a.Status)
+		c.members.Heard(a.Status, a.Asked) // it may vouch from now on, for this ledger
 		c.book.Hear(l, a.Status.Suspects, a.Asked)
 		c.book.HearFailures(a.Status.Failures)
 		c.Places.Hear(a.Status.Partings, a.Asked)
--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -132,6 +132,9 @@
 		pass(20 * time.Second)
 	}
 	h.finish(cancel)
+	if g.mesh == "whole" && g.then == "" && h.world.Lapsed > 0 {
+		t.Errorf("%v: %d tasks were lost with their leases, though peers could tell what is cancelled", g, h.world.Lapsed)
+	}
 	for _, b := range h.world.Broken {
 		t.Errorf("%v: broken: %s", g, b)
 	}
@@ -189,8 +192,9 @@
 
 // TestCancellationsInTheGap sweeps the gap over what the mesh does, when the outage begins, what
 // becomes of who told, and the times of all deployments. Whoever answers the workers, a cancelled
-// job's tasks are gone within the time of a cancellation. Without the bound on answering out of
-// touch (settings.ReportGrace) it fails. With HISTORY_SEEDS above the usual all of the sweep is
+// job's tasks are gone within the time of a cancellation, and where the old leader still reaches
+// those who told, all else goes on. Without the bound on answering out of touch
+// (settings.ReportGrace) it fails, and without noting what peers list as cancelled. With HISTORY_SEEDS above the usual all of the sweep is
 // played, else a part that takes in each value.
 func TestCancellationsInTheGap(t *testing.T) {
 	var all []gap
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -165,7 +165,7 @@
 				if o != i && p != nil && !cut && h.links[i].Frozen() <= 0 && h.links[o].Frozen() <= 0 {
 					asked := time.Now()
 					clock.Sleep(ctx, 3*time.Millisecond)
-					c.heardPeer(mesh.Answer{Status: p.status(), Asked: asked})
+					c.heardPeer(mesh.Answer{Status: p.statusFor(c.question()), Asked: asked})
 				}
 			}
 		}
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -59,8 +59,13 @@
 // follower is the controller as the mirror sees it.
 type follower struct{ c *Core }
 
-func (f follower) Loaded()                { f.c.schedule.Renew() }
 func (f follower) Advanced(now time.Time) { f.c.schedule.Retouch(now) }
+func (f follower) Loaded() {
+	for _, p := range f.c.members.Peers() {
+		doom(f.c.mirror.Records(), &p.Status) // they vouch for this ledger, too
+	}
+	f.c.schedule.Renew()
+}
 func (f follower) Moved(id wire.JobID, r ledger.FinalRecord) {
 	f.c.past.Note(id, r)
 	f.c.book.ForgetJob(id)
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,3 +227,194 @@
 		})
 	}
 }
+
+// TestLateWrites: of each kind of transaction that a controller makes, those at the beginning get no
+// answer and are carried out 2 to 12 s later, after newer ones of the same controller, also after its
+// end and return. No rule is broken, and all jobs are done.
+func TestLateWrites(t *testing.T) {
+	late := 0
+	for n, kind := range []string{"start", "exit", "mark", "leader", "token", "rental record", "machines swept", "move", ""} {
+		for _, ends := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, ends %v", kind, ends), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newReturns(t, uint64(41+n), 300*time.Millisecond)
+					r.copies, r.most, r.every = false, 6, 5*time.Second
+					var mu sync.Mutex
+					seen := 0
+					for i, l := range r.links {
+						l.Copies = false
+						l.Late = func(txn wire.Txn) time.Duration {
+							if stepOf(txn, false) != kind+" sent" || len(txn.Then) == 0 {
+								return 0
+							}
+							mu.Lock()
+							defer mu.Unlock()
+							if seen++; seen > 16 || seen%3 == 0 {
+								return 0
+							}
+							late++
+							if ends {
+								r.end(i)
+							}
+							return 2*time.Second + time.Duration(seen*7%11)*time.Second
+						}
+					}
+					r.check(24, nil)
+				})
+			})
+		}
+	}
+	if late < 100 { // not every kind comes that often
+		t.Errorf("%d transactions were late", late)
+	}
+}
+
+// TestSlowState: the state service answers seconds late for a minute, so that a read is old when it
+// arrives. What counts from a contact counts from when the read began: no rule is broken, users are told
+// nothing from before they asked, and all jobs are done.
+func TestSlowState(t *testing.T) {
+	for _, slow := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
+		t.Run(slow.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newReturns(t, 17, 300*time.Millisecond)
+				r.most, r.every = 3, 10*time.Second
+				at := 0
+				r.check(24, func() {
+					switch at++; {
+					case at == 20 || at == 80:
+						for _, l := range r.links {
+							l.SetSlow(map[bool]time.Duration{true: slow}[at == 20])
+						}
+					case at > 20 && at%17 == 0:
+						r.end(at % 3)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestTasksFarApart: jobs of two or three tasks, one of which ends early and another long after, while
+// the leader ends, is cut off, or is refused at every moment around the first exit. A job is called done
+// when all of its tasks are, and soon: an exit that was reported to the old leader and not recorded is
+// recorded once by whoever holds the machine then.
+func TestTasksFarApart(t *testing.T) {
+	for _, trouble := range []string{"ends", "cut", "refused", "all end"} {
+		for k, when := range []time.Duration{2 * time.Second, 6 * time.Second, 8 * time.Second, 9 * time.Second, 10 * time.Second, 12 * time.Second, 14 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprintf("%s after %v", trouble, when), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := meeting(t, uint64(51+k), 3)
+					h.past = true
+					h.cloud.Run = func(id wire.TaskID) time.Duration {
+						if id.Index == 0 {
+							return 5 * time.Second
+						}
+						return 55 * time.Second
+					}
+					ctx, cancel := context.WithCancel(t.Context())
+					h.begin(ctx, 6, 0)
+					h.pass(10 * time.Second)
+					var jobs []wire.JobID
+					for i := range 6 {
+						s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Shape: wire.Array, Tasks: 2 + i%2, GPUs: 1}
+						jobs = append(jobs, s.ID)
+						h.submit(ctx, s)
+					}
+					h.pass(when)
+					old, end := h.leading(), func() {}
+					switch trouble {
+					case "ends":
+						h.crash(old)
+					case "all end":
+						for i := range h.n {
+							h.crash(i)
+						}
+					default:
+						end = h.alone(old, trouble == "cut")
+					}
+					h.pass(300 * time.Millisecond)
+					for i := range h.n {
+						h.restart(ctx, i)
+					}
+					for range 20 {
+						h.pass(time.Second)
+						for _, id := range jobs {
+							h.ask(ctx, id) // told too early it breaks a rule
+						}
+					}
+					end()
+					h.pass(60 * time.Second)
+					for _, id := range jobs {
+						if st := h.ask(ctx, id); st != wire.Done {
+							t.Errorf("%s is %s", id, st)
+						}
+					}
+					h.verdict(cancel)
+				})
+			})
+		}
+	}
+}
+
+// TestUnreachableMachines: the leader ends while machines with long tasks can't be reached, or don't
+// hear the new leader's answer. They are fenced by a durable mark, returned, and released, by the
+// successor once more; a machine that comes back at any moment in between neither keeps its task beside
+// another nor gets it twice.
+func TestUnreachableMachines(t *testing.T) {
+	for _, how := range []string{"hang", "deaf"} {
+		for k, back := range []time.Duration{5 * time.Second, 20 * time.Second, 28 * time.Second, 33 * time.Second, 40 * time.Second, 55 * time.Second, 3 * time.Minute} {
+			t.Run(fmt.Sprintf("%s, back after %v", how, back), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := meeting(t, uint64(61+k), 3)
+					h.cloud.Run = func(wire.TaskID) time.Duration { return 80 * time.Second }
+					h.cloud.Most = 8
+					ctx, cancel := context.WithCancel(t.Context())
+					h.begin(ctx, 6, 0)
+					h.pass(10 * time.Second)
+					var jobs []wire.JobID
+					for i := range 4 {
+						s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Shape: []wire.Shape{wire.Array, wire.Gang}[i%2], Tasks: 2, GPUs: 1}
+						jobs = append(jobs, s.ID)
+						h.submit(ctx, s)
+					}
+					h.pass(15 * time.Second)
+					gone := h.cloud.Up()[:3]
+					for _, m := range gone {
+						if how == "hang" {
+							m.Hang(true)
+						} else {
+							h.hears(m.Type.ID, false)
+						}
+					}
+					h.pass(time.Duration(k) * time.Second)
+					h.crash(h.leading())
+					h.pass(300 * time.Millisecond)
+					for i := range h.n {
+						h.restart(ctx, i)
+					}
+					if k%2 == 0 { // the successor ends, too, at about the time of marks and returns
+						h.group.Go(func() {
+							clock.Sleep(ctx, 34*time.Second)
+							at := h.leading()
+							h.crash(at)
+							clock.Sleep(ctx, 300*time.Millisecond)
+							h.restart(ctx, at)
+						})
+					}
+					h.pass(back)
+					for _, m := range gone {
+						m.Hang(false)
+						h.hears(m.Type.ID, true)
+					}
+					h.pass(6 * time.Minute)
+					for _, id := range jobs {
+						if st := h.ask(ctx, id); st != wire.Done {
+							t.Errorf("%s is %s", id, st)
+						}
+					}
+					h.verdict(cancel)
+				})
+			})
+		}
+	}
+}
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -22,7 +22,7 @@
 	}})
 	for _, p := range c.set.Peers {
 		c.Duties.Add(duty.Duty{Name: "peer " + string(p.Member), Run: func(ctx context.Context) error {
-			mesh.Ask(ctx, dialer, p.Addr, c.set.Member, time.Second, c.heardPeer)
+			mesh.Ask(ctx, dialer, p.Addr, c.question, time.Second, c.heardPeer)
 			return ctx.Err()
 		}, Amiss: func(now time.Time) string {
 			peer := c.members.Peer(p.Member)
--- a/internal/controller/waits_test.go
+++ b/internal/controller/waits_test.go
@@ -73,7 +73,7 @@
 	}
 	for _, s := range f.Peers {
 		every(time.Second, 0, func() { c.heardPeer(mesh.Answer{Status: s, Asked: time.Now()}) })
-		every(time.Second, 500*time.Millisecond, func() { _, _ = cbor.Marshal(c.statusFor(s.Member)) })
+		every(time.Second, 500*time.Millisecond, func() { _, _ = cbor.Marshal(c.statusFor(s)) })
 	}
 	for ready := false; !ready; {
 		c.mirror.Read(func(*ledger.Ledger) { ready = c.mirror.Token() != 0 })
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -167,7 +167,8 @@
 		c.Mirror.Unlock()
 	}()
 	c.Mirror.Lock()
-	l.recent = slices.Clone(c.led().Hires())
+	recent, _ := c.led().Hires()
+	l.recent = slices.Clone(recent)
 	l.forgetHires(time.Now())
 	l.relearn = slices.Clone(l.recent)
 	c.Mirror.Unlock()
@@ -739,7 +740,8 @@
 // rent records what is to be rented, on the condition that this is still the
 // leader's term, and then asks the cloud. A leader that has stood still meanwhile
 // finds that another leads and rents nothing; one that stands still in between is
-// asked after by its successor.
+// asked after by its successor. The record is also conditioned on its own version: one
+// carried out late does not take later rentals off it.
 func (l *leader) rent(ctx context.Context, needs []fleet.Need) error {
 	if len(needs) == 0 {
 		return nil
@@ -757,14 +759,19 @@
 			Hire: wire.Hire{Request: name, Type: n.Type, Zone: n.Zone, Spot: n.Spot, Count: min(n.Count, cloud.MaxHire)}})
 	}
 	asked = asked[:min(len(asked), max(1, l.c.set.ValueBytes()/ledger.HireBytes))]
-	l.recent = append(l.recent, asked...)
+	before := l.recent
+	l.recent = slices.Concat(before, asked)
 	l.forgetHires(now)
 	value, err := json.Marshal(ledger.HiresRecord{Recent: l.recent})
 	if err != nil {
 		return err
 	}
-	if _, err := l.c.Writer.Commit(ctx, wire.Txn{If: []wire.Condition{{Key: ledger.LeaderKey, Version: l.version}},
+	l.c.Mirror.Lock()
+	_, version := l.c.led().Hires()
+	l.c.Mirror.Unlock()
+	if _, err := l.c.Writer.Commit(ctx, wire.Txn{If: []wire.Condition{{Key: ledger.LeaderKey, Version: l.version}, {Key: ledger.HiresKey, Version: version}},
 		Then: []wire.Change{{Put: ledger.HiresKey, Value: value}}}); err != nil {
+		l.recent = before // nothing of it is asked for; should the record land after all, a successor may
 		return err
 	}
 	for _, h := range asked {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -125,7 +125,7 @@
 
 	second := &askedCloud{}
 	s := term(second, next)
-	s.recent = c.led().Hires()
+	s.recent, _ = c.led().Hires()
 	s.relearn = s.recent
 	if err := s.askAgain(t.Context()); err != nil || len(second.asked) != 1 || second.asked[0] != first.asked[0] || len(s.units) != 3 {
 		t.Errorf("the successor asked for %v (%v) and knows of %d machines, want %v again", second.asked, err, len(s.units), first.asked)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -97,7 +97,7 @@
 	Gallery  wire.GalleryName // that it is tied to, "" if none
 	Ended    wire.UnixMillis  // when it was done, if it is tied
 	Of       wire.WorkflowID  // the workflow that it is a step of, "" if none
-	Doomed   bool             // that workflow is cancelled: the job will be, too
+	Doomed   bool             // that workflow is cancelled, so the job will be; or the job is, by another's ledger
 	chunks   map[int]*Chunk
 
 	chunkTasks int
@@ -192,8 +192,10 @@
 	modules   map[wire.ModuleHash]ModuleRecord
 
 	cancelled wire.Revision // of the newest cancellation, or later
+	cancels   cancels
 
 	hires     HiresRecord
+	hiresVer  wire.Revision
 	token     TokenRecord
 	tokenVer  wire.Revision
 	leader    LeaderRecord
@@ -332,8 +334,8 @@
 // holds. A controller tells a user of one only when its ledger holds it.
 func (l *Ledger) LastCancel() wire.Revision { return l.cancelled }
 
-// Hires returns the rentals that were asked for lately.
-func (l *Ledger) Hires() []HireIntent { return l.hires.Recent }
+// Hires returns the rentals that were asked for lately, and the version of their record.
+func (l *Ledger) Hires() ([]HireIntent, wire.Revision) { return l.hires.Recent, l.hiresVer }
 
 // Token returns the token counter and its version.
 func (l *Ledger) Token() (TokenRecord, wire.Revision) { return l.token, l.tokenVer }
@@ -433,8 +435,8 @@
 			return json.Unmarshal(e.Value, &l.register)
 		}
 	case HiresKey:
-		if e.Value != nil {
-			l.hires = HiresRecord{}
+		if e.Value != nil && e.Version > l.hiresVer {
+			l.hires, l.hiresVer = HiresRecord{}, e.Version
 			return json.Unmarshal(e.Value, &l.hires)
 		}
 	case TokenKey:
@@ -494,6 +496,7 @@
 	}
 	if r.State == Cancelled && j.State != Cancelled {
 		l.cancelled = max(l.cancelled, e.Version)
+		l.cancels.add(e.Version, id)
 	}
 	if j.Gallery != r.Gallery {
 		l.inGalleryOf(j, r.Gallery)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -104,7 +104,8 @@
 }
 
 // Vouched is the time up to which every other controller has said that it told of no
-// cancellation newer than a revision; false while one of them doesn't.
+// cancellation that a ledger lacks which has come as far as a revision; false while one of them
+// doesn't. What peers list as cancelled must have been noted in the ledger before.
 func (m *Members) Vouched(rev wire.Revision, now time.Time) (time.Time, bool) {
 	if len(m.opt.Others) != m.opt.Count-1 {
 		return time.Time{}, false
@@ -114,7 +115,7 @@
 	until := now
 	for _, id := range m.opt.Others {
 		p := m.peers[id]
-		if p == nil || !p.Status.Loaded || p.Status.Cancelled > rev {
+		if p == nil || !p.Status.Vouches(rev) {
 			return time.Time{}, false
 		}
 		if p.Asked.Before(until) {
@@ -305,6 +306,9 @@
 			if json.Unmarshal(raw, &s) != nil || s.Version != mesh.Version {
 				continue
 			}
+			if p := m.Peer(id); p != nil && s.Boot == p.Status.Boot && s.Revision < p.Status.Revision {
+				continue // written late, after newer ones of the same life
+			}
 			// Only the picture of machines: a stored value proves nothing about
 			// cancellations told since.
 			s.Loaded = false
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -65,8 +65,13 @@
 	Reads     int           `cbor:"14,keyasint,omitempty" json:"-"` // newest format of records; 0: the first
 	Modules   []Module      `cbor:"15,keyasint,omitempty" json:"-"`
 	Failures  []Failure     `cbor:"16,keyasint,omitempty" json:"-"`
-	Register  int           `cbor:"18,keyasint,omitempty" json:"-"` // edition of the register of galleries; 0: none
-	Keeping   []Emptying    `cbor:"17,keyasint,omitempty" json:"-"` // for late gangs: nothing is stopped for it
+	// What the one who asks lacks: the jobs cancelled after the revision that it said, if Whole all
+	// of them that this controller may have told of.
+	Since    wire.Revision `cbor:"19,keyasint,omitempty" json:"-"`
+	Ended    []wire.JobID  `cbor:"20,keyasint,omitempty" json:"-"`
+	Whole    bool          `cbor:"21,keyasint,omitempty" json:"-"`
+	Register int           `cbor:"18,keyasint,omitempty" json:"-"` // edition of the register of galleries; 0: none
+	Keeping  []Emptying    `cbor:"17,keyasint,omitempty" json:"-"` // for late gangs: nothing is stopped for it
 }
 
 // Failure is a task's error on a machine that a controller held lately, where machines are judged
@@ -129,8 +134,14 @@
 	Asked  time.Time
 }
 
-// Serve answers one connection with the status that describe gives a peer.
-func Serve(c *transport.Conn, describe func(wire.MemberID) Status) {
+// Vouches reports whether who told this has told no user of a cancellation that a ledger lacks:
+// one that has come as far as a revision and takes what is listed for cancelled.
+func (s *Status) Vouches(r wire.Revision) bool {
+	return s.Loaded && (s.Cancelled <= r || s.Whole && s.Since <= r)
+}
+
+// Serve answers one connection with the status that describe gives for what a peer says of itself.
+func Serve(c *transport.Conn, describe func(ask Status) Status) {
 	r := bufio.NewReader(c)
 	for {
 		c.SetReadDeadline(time.Now().Add(30 * time.Second))
@@ -138,7 +149,7 @@
 		if err := read(r, &ask); err != nil {
 			return
 		}
-		s := describe(ask.Member)
+		s := describe(ask)
 		s.Version = agreed(ask)
 		if err := write(c, s); err != nil {
 			return
@@ -150,8 +161,8 @@
 // versions were negotiated say only the one that they speak.
 func agreed(ask Status) int { return min(Version, max(ask.Version, ask.Newest)) }
 
-// Ask keeps asking a peer every interval until ctx ends.
-func Ask(ctx context.Context, d *transport.Dialer, addr string, self wire.MemberID, interval time.Duration, got func(Answer)) {
+// Ask keeps asking a peer every interval until ctx ends. self is what is said of the one who asks.
+func Ask(ctx context.Context, d *transport.Dialer, addr string, self func() Status, interval time.Duration, got func(Answer)) {
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -163,7 +174,7 @@
 	}
 }
 
-func ask(ctx context.Context, d *transport.Dialer, addr string, self wire.MemberID, tick <-chan time.Time, got func(Answer)) error {
+func ask(ctx context.Context, d *transport.Dialer, addr string, self func() Status, tick <-chan time.Time, got func(Answer)) error {
 	dialling, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	c, err := d.Dial(dialling, addr)
@@ -176,7 +187,9 @@
 	r := bufio.NewReader(c)
 	for {
 		asked := time.Now()
-		if err := write(c, Status{Version: Oldest, Newest: Version, Member: self}); err != nil {
+		q := self()
+		q.Version, q.Newest = Oldest, Version
+		if err := write(c, q); err != nil {
 			return err
 		}
 		c.SetReadDeadline(asked.Add(2 * time.Second))
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -200,6 +200,9 @@
 	slow   time.Duration
 	// Step, if set, is called before a transaction is sent and after it is applied.
 	Step func(t wire.Txn, applied bool)
+	// Late, if set, tells after what time a transaction is carried out that gets no answer; 0: it
+	// is treated like any other.
+	Late func(t wire.Txn) time.Duration
 	// Loads, if set, is called when a reading of all records begins and after each page of it.
 	Loads func(begins bool)
 	// Pages is how many items a page has at the most; 0: few, so that there are many pages.
@@ -332,6 +335,13 @@
 	if err := l.travel(ctx); err != nil {
 		return 0, err
 	}
+	if l.Late != nil {
+		if after := l.Late(t); after > 0 {
+			l.applyLate(t, after)
+			time.Sleep(time.Second)
+			return 0, state.ErrUnknown
+		}
+	}
 	lossy := l.share()
 	if _, luck, _ := l.roll(); luck < lossy {
 		if part := luck / lossy; part < 0.5 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -23,6 +23,7 @@
 	CancelS time.Duration
 	Broken  []string
 	Starts  int
+	Lapsed  int // tasks that ended with a lease
 
 	Finished func(wire.TaskID)                               // called before a task is reported as done, if given
 	Fails    func(wire.MachineID, wire.TaskID) bool          // a task ends with an error there, if given
@@ -278,6 +279,7 @@
 // lapse begins a new session if the lease is over.
 func (m *Machine) lapse(now time.Time) {
 	if now.Sub(m.renewed) > m.Lease {
+		m.World.Lapsed += len(m.tasks)
 		m.kill()
 		m.session++
 		m.tally, m.renewed = 0, now
