--- a/cmd/regress/main_test.go
+++ b/cmd/regress/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"os/exec"
 	"strings"
 	"testing"
 )
@@ -38,3 +39,31 @@
 		t.Errorf("missing %v, %v", missing, err)
 	}
 }
+
+// TestKnownRed: the list of tests that are known to fail takes three well-formed lines that name
+// tests there are, and nothing else; without it nothing is passed over.
+func TestKnownRed(t *testing.T) {
+	t.Chdir("../..")
+	line := func(name string) string { return name + ": the cause, issue 26\n" }
+	for text, want := range map[string]string{
+		line("TestKnownRed"): "TestKnownRed",
+		line("TestKnownRed") + line("TestNothingPlayedIsNoPass") + line("TestFallsAreNamed"): "TestKnownRed TestNothingPlayedIsNoPass TestFallsAreNamed",
+		strings.Repeat(line("TestKnownRed"), 4):                                              "", // a fourth
+		line("TestThatIsNot"):                                                                "",
+		"TestKnownRed: no issue\n":                                                           "",
+		"KnownRed: the cause, issue 26\n":                                                    "",
+		line("TestKnownRed") + "\n":                                                          "",
+	} {
+		file := t.TempDir() + "/red"
+		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		out, err := exec.Command("scripts/known-red", file).Output()
+		if got := strings.Join(strings.Fields(string(out)), " "); (err == nil) != (want != "") || want != "" && got != want {
+			t.Errorf("%q gives %q, %v", text, got, err)
+		}
+	}
+	if out, err := exec.Command("scripts/known-red", t.TempDir()+"/none").Output(); err != nil || len(out) > 0 {
+		t.Errorf("without a list: %q, %v", out, err)
+	}
+}
