Starts go into batches by priority; batches are gathered for longer while the service refuses them

Batches refused for their number came again as small as before.

Change: of the starts that are not late the most urgent go first; for 3 s after a refusal for number, batches are three times as far apart (400 ms at the most), so that more of their changes fall into the same records.

--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -5,6 +5,7 @@
 package writer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -35,6 +36,7 @@
 	Drop  bool // a start: given up after Until
 	Until time.Time
 	Late  bool   // of work that has waited for too long: before other starts
+	Rank  int    // of a start's priority: of those that are not late, the least goes first
 	Spare bool   // of work that only takes what others leave
 	Made  func() // called once it is durable, if given
 
@@ -59,6 +61,7 @@
 	stats  *metrics.Set
 	log    *slog.Logger
 
+	crowded   time.Time // until when the service is likely to refuse batches, for all of them
 	submitted chan *Change
 	users     chan struct{} // bounds users' transactions in flight
 }
@@ -91,6 +94,21 @@
 	return time.Duration(float64(time.Second) / min(10, max(2, w.opt.Changes)))
 }
 
+// While the service refuses batches because all controllers together write too much, batches are
+// gathered for longer: more of what they change is in the same records.
+const (
+	crowdedFor  = 3 * time.Second
+	crowdedPace = 3 // times the usual
+)
+
+// pace is how long after a batch the next one is made.
+func (w *Writer) pace(now time.Time) time.Duration {
+	if now.Before(w.crowded) {
+		return min(crowdedPace*w.batchEvery(), max(w.batchEvery(), 400*time.Millisecond))
+	}
+	return w.batchEvery()
+}
+
 // mostTried bounds how much of a long queue a full batch is tried on.
 const mostTried = 200
 
@@ -126,7 +144,7 @@
 		}
 		began := time.Now()
 		queue = w.writeBatch(ctx, queue)
-		if rest := w.batchEvery() - time.Since(began); rest > 0 {
+		if rest := w.pace(began) - time.Since(began); rest > 0 {
 			clock.Sleep(ctx, rest)
 		}
 		if ctx.Err() != nil {
@@ -142,8 +160,9 @@
 }
 
 // alternate orders a queue so that starts, which are given up after a while, and
-// all else take turns, each in its own order but for starts of what is late. In a flood
-// of exits no start would ever be in time otherwise.
+// all else take turns, each in its own order but for starts of what is late, and by
+// priority. In a flood of exits no start would ever be in time otherwise, nor one of
+// urgent work in a flood of others.
 func alternate(queue []*Change) []*Change {
 	var starts, others []*Change
 	for _, ch := range queue {
@@ -155,12 +174,14 @@
 	}
 	slices.SortStableFunc(starts, func(a, b *Change) int {
 		switch {
-		case a.Late == b.Late:
+		case a.Late && b.Late:
 			return 0
 		case a.Late:
 			return -1
+		case b.Late:
+			return 1
 		}
-		return 1
+		return cmp.Compare(a.Rank, b.Rank)
 	})
 	out := queue[:0:0]
 	for i := range max(len(starts), len(others)) {
@@ -235,6 +256,9 @@
 		return left
 	}
 	w.stats.Add("transactions_failed_total", 1)
+	if errors.Is(err, state.ErrBusy) {
+		w.crowded = time.Now().Add(crowdedFor)
+	}
 	var conflict *state.Conflict
 	if !errors.As(err, &conflict) {
 		// Refused or unknown: if unknown it may still land, which then shows in
