Idle machines with accelerators are kept as a reserve where other work has machines of its own

Change: those that plain work leaves idle are not given back, a quarter of a type's in a zone, two at least.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -247,8 +247,13 @@
 	slices.SortFunc(idle, func(a, b Unit) int {
 		return cmp.Or(cmp.Compare(in.price(b.option()), in.price(a.option())), a.IdleSince.Compare(b.IdleSince))
 	})
+	left := in.left()
 	for _, u := range idle[:max(0, len(idle)-spare)] {
 		f := in.Flavors[u.Type]
+		if k := (Option{Type: u.Type, Zone: u.Zone}); left[k] > 0 {
+			left[k]--
+			continue
+		}
 		keep := in.IdleBoots * float64(f.Boot.Duration())
 		if p := in.price(u.option()); p > 0 && f.Price > p {
 			keep *= f.Price / p // a cheap machine is worth keeping, with its cache, for longer
@@ -260,6 +265,27 @@
 	return plan
 }
 
+// left is how many idle machines with accelerators, of each type in each zone, are kept for work
+// that needs them, where there are types without any for other work.
+func (in *Input) left() map[Option]int {
+	left, plain := map[Option]int{}, false
+	for _, f := range in.Flavors {
+		plain = plain || f.GPUs == 0
+	}
+	if !plain {
+		return left
+	}
+	for i := range in.Units {
+		if u := &in.Units[i]; u.Usable && !u.Booting && u.Total.GPU > 0 {
+			left[Option{Type: u.Type, Zone: u.Zone}]++
+		}
+	}
+	for k, n := range left {
+		left[k] = place.Left(n)
+	}
+	return left
+}
+
 // roomiest is the zone whose machines have room for the most of a gang's tasks, "" if
 // there is none.
 func roomiest(open []*slot, fits func(*slot) int) (best wire.Zone) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -136,3 +136,27 @@
 		}
 	}
 }
+
+// TestAcceleratorsAreKept: where there are machine types without accelerators, some idle machines with
+// them are not given back; where there are none all that are idle go, as before.
+func TestAcceleratorsAreKept(t *testing.T) {
+	now := time.Now()
+	gpu := wire.Flavor{Name: "gpu", CPUs: 8, GPUs: 2, MemoryGB: 32, Price: 4, Boot: 20, Zones: []wire.Zone{"a"}}
+	for _, tc := range []struct {
+		mixed bool
+		want  int
+	}{{true, 12 - 3}, {false, 12}} {
+		in := &Input{Now: now, Flavors: map[wire.MachineSKU]wire.Flavor{"gpu": gpu}, IdleBoots: 1,
+			TeamRoom: func(_ *ledger.Job, _ ledger.Resources, most int) int { return most }, Refused: func(Option) bool { return false }}
+		if tc.mixed {
+			in.Flavors["cpu"] = wire.Flavor{Name: "cpu", CPUs: 4, MemoryGB: 16, Price: 1, Boot: 20, Zones: []wire.Zone{"a"}}
+		}
+		for i := range 12 {
+			in.Units = append(in.Units, Unit{ID: wire.MachineID(fmt.Sprint("host-", i)), Type: "gpu", Zone: "a", Usable: true,
+				Total: ledger.NewResources(8, 2, 32), IdleSince: now.Add(-time.Hour)})
+		}
+		if p := Make(in); len(p.Drain) != tc.want {
+			t.Errorf("mixed %v: %d of 12 are given back, want %d", tc.mixed, len(p.Drain), tc.want)
+		}
+	}
+}
--- a/internal/place/plain.go
+++ b/internal/place/plain.go
@@ -7,7 +7,8 @@
 
 // Work that needs no accelerator may run on machines that have some. Taken one by one as they report,
 // those would be full of it when a gang comes that can run nowhere else. So some of them are left idle
-// to work that needs them, and none is rented for work that doesn't.
+// to work that needs them, and none is rented for work that doesn't. As many are not given back where
+// they are idle: what they would be rented for again seldom has the time to wait for a boot.
 
 // Of the machines of a type with accelerators in a zone this part is left idle by other work, and no
 // fewer than leastLeft.
@@ -16,6 +17,9 @@
 	leastLeft = 2
 )
 
+// Left is how many of so many machines with accelerators, of a type in a zone, are left idle.
+func Left(all int) int { return max(leastLeft, all/leftShare) }
+
 // Plain reports whether a job needs no accelerator and there is a type of machine without any that it
 // may run on.
 func Plain(j *ledger.Job, flavors map[wire.MachineSKU]wire.Flavor) bool {
@@ -55,7 +59,7 @@
 			}
 		}
 		for k, n := range all {
-			v.beyond[k] -= max(leastLeft, n/leftShare)
+			v.beyond[k] -= Left(n)
 		}
 	}
 	return v.beyond
