--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -182,3 +182,62 @@
 		t.Error("a newer report is taken for stale")
 	}
 }
+
+// TestHearing: one lost answer makes no machine deaf, two in a row do, and so does a session that
+// begins within a lease of an answered report; only a token that it had not seen shows that it hears.
+// What is released of a deaf machine is not sent again when it hears.
+func TestHearing(t *testing.T) {
+	begun := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(i int) time.Time { return begun.Add(time.Duration(i) * 3 * time.Second) }
+	j := held(1, hold, "")
+	running := task(wire.TaskRunning, 3)
+	w := NewWorker(report(1, 1, hold), at(0))
+	answered := func(i int, r *wire.Report, token wire.Token) (Findings, []wire.Command) {
+		f := w.Take(r, j, token, at(i))
+		cmds := w.Commands(r, j, ledger.Resources{}, true)
+		w.Answered(at(i))
+		return f, cmds
+	}
+	if _, cmds := answered(1, report(1, 1, hold), hold); len(cmds) != 1 || cmds[0].Op != wire.OpStart {
+		t.Fatalf("commands %v", cmds)
+	}
+	answered(2, report(1, 2, hold), hold) // the start was lost once
+	if w.Deaf() {
+		t.Fatal("deaf after one lost answer")
+	}
+	if answered(3, report(1, 3, hold, running), hold); w.Deaf() || w.hears.missed != 0 {
+		t.Fatal("an answer that arrived does not count")
+	}
+	j[0].Attempt, j[0].First = 4, 0
+	answered(4, report(1, 4, hold), hold)
+	answered(5, report(1, 5, hold), hold)
+	f, cmds := answered(6, report(1, 6, hold), hold)
+	if !w.Deaf() || len(f.Exits) != 1 || len(cmds) != 0 || w.DeafFor(at(7)) != 3*time.Second {
+		t.Fatalf("deaf %v after two lost starts, %d released, commands %v", w.Deaf(), len(f.Exits), cmds)
+	}
+	if w.Proves(hold) || !w.Proves(hold+1) {
+		t.Fatal("a token that it has seen proves that it hears")
+	}
+	if f, cmds = answered(7, report(1, 7, hold), hold+1); !w.Deaf() || len(f.Exits) != 1 || len(cmds) != 0 {
+		t.Fatalf("under a new token: deaf %v, %d released, commands %v", w.Deaf(), len(f.Exits), cmds)
+	}
+	if _, cmds = answered(8, report(1, 8, hold+1), hold+1); w.Deaf() || len(cmds) != 0 {
+		t.Fatalf("once it has shown the token: deaf %v, commands %v", w.Deaf(), cmds)
+	}
+	r := report(2, 1, hold+1)
+	if w.Lapsed(r, at(9), 25*time.Second); !w.Deaf() {
+		t.Error("not deaf though its session ended 3 s after an answer")
+	}
+	if w.Take(r, j, hold+2, at(9)); !w.Deaf() {
+		t.Error("hears without having shown a newer token")
+	}
+	if w.Take(report(2, 2, hold+2), j, hold+2, at(10)); w.Deaf() {
+		t.Error("deaf though it has shown a newer token")
+	}
+	quiet := NewWorker(report(1, 1, hold), at(0))
+	quiet.Take(report(1, 1, hold), nil, hold, at(0))
+	quiet.Answered(at(0))
+	if quiet.Lapsed(report(2, 1, hold), at(20), 25*time.Second); quiet.Deaf() {
+		t.Error("deaf though its session ended long after it was last answered")
+	}
+}
