--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -27,8 +27,8 @@
 	ErrTooOld   = errors.New("state: revision too old to watch from")
 	ErrNoLease  = errors.New("state: no such lease")
 	ErrInvalid  = errors.New("state: request not accepted")
-	// ErrBusy: refused since all controllers together ask for more than the service's limits.
-	ErrBusy = errors.New("state: over its limits")
+
+	errBusy = errors.New("state: over its limits")
 )
 
 // Conflict is a transaction whose conditions did not hold.
@@ -123,7 +123,7 @@
 	case err != nil:
 		return nil, errors.Join(ErrUnknown, err)
 	case p.Status == 429:
-		return nil, errors.Join(ErrRefused, ErrBusy)
+		return nil, errors.Join(ErrRefused, errBusy)
 	case p.Status == 503:
 		return nil, ErrRefused
 	}
@@ -194,7 +194,7 @@
 		t.Then = []wire.Change{}
 	}
 	p, err := c.do(ctx, "POST", "/multi", "", t)
-	if errors.Is(err, ErrBusy) {
+	if errors.Is(err, errBusy) {
 		c.changes.refused()
 	}
 	if err != nil {
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -61,7 +61,6 @@
 	stats  *metrics.Set
 	log    *slog.Logger
 
-	crowded   time.Time // until when the service is likely to refuse batches, for all of them
 	submitted chan *Change
 	users     chan struct{} // bounds users' transactions in flight
 }
@@ -94,21 +93,6 @@
 	return time.Duration(float64(time.Second) / min(10, max(2, w.opt.Changes)))
 }
 
-// While the service refuses batches because all controllers together write too much, batches are
-// gathered for longer: more of what they change is in the same records.
-const (
-	crowdedFor  = 3 * time.Second
-	crowdedPace = 3 // times the usual
-)
-
-// pace is how long after a batch the next one is made.
-func (w *Writer) pace(now time.Time) time.Duration {
-	if now.Before(w.crowded) {
-		return min(crowdedPace*w.batchEvery(), max(w.batchEvery(), 400*time.Millisecond))
-	}
-	return w.batchEvery()
-}
-
 // mostTried bounds how much of a long queue a full batch is tried on.
 const mostTried = 200
 
@@ -144,7 +128,7 @@
 		}
 		began := time.Now()
 		queue = w.writeBatch(ctx, queue)
-		if rest := w.pace(began) - time.Since(began); rest > 0 {
+		if rest := w.batchEvery() - time.Since(began); rest > 0 {
 			clock.Sleep(ctx, rest)
 		}
 		if ctx.Err() != nil {
@@ -256,9 +240,6 @@
 		return left
 	}
 	w.stats.Add("transactions_failed_total", 1)
-	if errors.Is(err, state.ErrBusy) {
-		w.crowded = time.Now().Add(crowdedFor)
-	}
 	var conflict *state.Conflict
 	if !errors.As(err, &conflict) {
 		// Refused or unknown: if unknown it may still land, which then shows in
