--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -361,8 +361,7 @@
 		}
 	}
 	late := slices.ContainsFunc(starts, func(s place.Start) bool { return s.Late })
-	rank := starts[0].Job.Spec.Priority.Rank() // they are in policy order
-	return &writer.Change{Drop: true, Until: until, Late: late, Rank: rank, Made: made, Draft: func(d *ledger.Draft) error {
+	return &writer.Change{Drop: true, Until: until, Late: late, Made: made, Draft: func(d *ledger.Draft) error {
 		claimed = nil
 		if c.Roster.Worker(w.ID) != w || w.Session != site.Session || w.Hold != site.Token {
 			return ledger.ErrStale
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -5,7 +5,6 @@
 package writer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,7 +35,6 @@
 	Drop  bool // a start: given up after Until
 	Until time.Time
 	Late  bool   // of work that has waited for too long: before other starts
-	Rank  int    // of a start's priority: of those that are not late, the least goes first
 	Spare bool   // of work that only takes what others leave
 	Made  func() // called once it is durable, if given
 
@@ -144,9 +142,8 @@
 }
 
 // alternate orders a queue so that starts, which are given up after a while, and
-// all else take turns, each in its own order but for starts of what is late, and by
-// priority. In a flood of exits no start would ever be in time otherwise, nor one of
-// urgent work in a flood of others.
+// all else take turns, each in its own order but for starts of what is late. In a flood
+// of exits no start would ever be in time otherwise.
 func alternate(queue []*Change) []*Change {
 	var starts, others []*Change
 	for _, ch := range queue {
@@ -158,14 +155,12 @@
 	}
 	slices.SortStableFunc(starts, func(a, b *Change) int {
 		switch {
-		case a.Late && b.Late:
+		case a.Late == b.Late:
 			return 0
 		case a.Late:
 			return -1
-		case b.Late:
-			return 1
 		}
-		return cmp.Compare(a.Rank, b.Rank)
+		return 1
 	})
 	out := queue[:0:0]
 	for i := range max(len(starts), len(others)) {
