--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -161,21 +161,25 @@
 	now := began
 	for tries := 0; tries < 3 && current(); tries++ {
 		var starts []place.Start
+		anew := true
 		if c.Schedule.Usable(w, now) && now.Sub(c.Mirror.Contact()) < settings.StartContact {
 			v := c.Schedule.View(now)
-			starts = place.OnRoom(v, v.Put(c.Schedule.MachineOf(w, now)))
+			m := v.Put(c.Schedule.MachineOf(w, now))
+			starts = place.OnRoom(v, m)
+			anew = !v.WantedWhole(m)
 		}
 		made := c.startChanges(w, starts, began.Add(c.reportWait()))
 		for _, ch := range made {
 			c.Writer.Enqueue(ch)
 			waits = append(waits, ch)
 		}
-		ended := tries == 0 && len(f.Exits) > 0
+		ended := anew && tries == 0 && len(f.Exits) > 0
 		dropped := c.await(ctx, waits)
 		c.untake(starts)
 		now = time.Now()
 		// What was dropped is decided anew, and so is what the room of tasks whose end is now on
-		// record is for: the machine would else be idle until it reports again.
+		// record is for: the machine would else be idle until it reports again. Where gangs of
+		// several tasks want such a machine, they are to be placed first.
 		if waits = nil; !(dropped && len(starts) > 0 || ended && ctx.Err() == nil) || now.Sub(began) > c.reportWait()/2 {
 			break
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -490,6 +490,13 @@
 	return out
 }
 
+// WantedWhole reports whether a gang of several tasks waits that may use a machine.
+func (v *View) WantedWhole(m *Machine) bool {
+	return slices.ContainsFunc(v.Queue, func(e Entry) bool {
+		return e.Job.Together() > 1 && e.pending() > 0 && m.Total.Fits(e.Job.Need) && ledger.Allowed(e.Job.Spec, m.Type, m.Zone, m.Spot)
+	})
+}
+
 // open reports whether a machine takes tasks of the job at all, and isn't kept for
 // another.
 func (v *View) open(e *Entry, m *Machine) bool {
