Test of answers while records are read anew: its machine begins what it is told to

The test's machine showed no task that it was told to start; now it shows them, as a machine that hears does. What is asserted is the same.

--- a/internal/controller/archive_test.go
+++ b/internal/controller/archive_test.go
@@ -246,14 +246,20 @@
 		done := make(chan error, 1)
 		go func() { _, err := c.mirror.Load(t.Context()); done <- err }()
 		answered := 0
+		var tasks []wire.TaskReport // that it was told to start: one on which nothing begins is deaf
 		for n := 1; ; n++ {
 			time.Sleep(500 * time.Millisecond)
 			c.mirror.Lock()
 			c.mirror.Suppose(c.mirror.Token(), time.Now()) // a few seconds are within what safety allows without
 			c.mirror.Unlock()
-			r := &wire.Report{Machine: "host-9999999", Type: "g2", Zone: "a", Session: 1, Tally: wire.Tally(n), Token: 1}
+			r := &wire.Report{Machine: "host-9999999", Type: "g2", Zone: "a", Session: 1, Tally: wire.Tally(n), Token: 1, Tasks: tasks}
 			if a := c.Workers.Report(t.Context(), r); a.Status == 200 {
 				answered++
+				for _, cmd := range a.Response.Commands {
+					if cmd.Op == wire.OpStart {
+						tasks = append(tasks, wire.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: wire.TaskFetching})
+					}
+				}
 			}
 			select {
 			case err := <-done:
