Jobs that peers list as cancelled are noted each time the records move on

Cause, found by rereading: a listed job that the records did not hold yet was passed over. A late watch could bring the job and not its cancellation; the status that listed it went on vouching for the records, and tasks of the job could have been kept up beyond the bound. It was seen to for new readings only.

Change: the lists are noted whenever the records advance, which a new reading does, too.

--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -1,7 +1,10 @@
 package controller
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"maddermill/internal/ledger"
@@ -44,6 +47,39 @@
 	}
 }
 
+// TestListedJobsThatComeLater: a peer lists a job as cancelled that these records don't hold yet. When
+// it comes, by a reading of all records or by the watch, and its cancellation does not, it counts as
+// cancelled: the status goes on vouching for the records, and its tasks would be kept up else.
+func TestListedJobsThatComeLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quietCore(t, 0)
+		ids := []wire.JobID{"wk-000001", "wk-000002"}
+		a := listing(answerOf("m-1", time.Now(), 90, true, 0), 0, true)
+		a.Status.Ended = ids
+		c.heardPeer(a)
+		ctx, cancel := context.WithCancel(t.Context())
+		add := func(id wire.JobID) {
+			value := fmt.Appendf(nil, `{"spec":{"id":"%s","pieces":1},"at":1}`, id)
+			if _, err := c.store.Commit(ctx, wire.Txn{Then: []wire.Change{{Put: "mm1/j/" + string(id), Value: value}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		add(ids[0])
+		go func() { _ = c.mirror.Watch(ctx) }() // which reads all records first
+		time.Sleep(5 * time.Second)
+		add(ids[1])
+		time.Sleep(5 * time.Second)
+		c.mirror.Read(func(l *ledger.Ledger) {
+			for _, id := range ids {
+				if j := l.Job(id); j == nil || !j.Doomed || j.Pending() > 0 {
+					t.Errorf("%s counts as %+v", id, j)
+				}
+			}
+		})
+		cancel()
+	})
+}
+
 func listing(a mesh.Answer, since wire.Revision, whole bool) mesh.Answer {
 	a.Status.Since, a.Status.Whole, a.Status.Ended = since, whole, []wire.JobID{"wk-000001"}
 	return a
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -59,12 +59,14 @@
 // follower is the controller as the mirror sees it.
 type follower struct{ c *Core }
 
-func (f follower) Advanced(now time.Time) { f.c.schedule.Retouch(now) }
-func (f follower) Loaded() {
+func (f follower) Loaded() { f.c.schedule.Renew() }
+func (f follower) Advanced(now time.Time) {
+	// What peers list as cancelled they vouch with for these records as well: read anew, or with
+	// jobs that were not known when the status came.
 	for _, p := range f.c.members.Peers() {
-		doom(f.c.mirror.Records(), &p.Status) // they vouch for this ledger, too
+		doom(f.c.mirror.Records(), &p.Status)
 	}
-	f.c.schedule.Renew()
+	f.c.schedule.Retouch(now)
 }
 func (f follower) Moved(id wire.JobID, r ledger.FinalRecord) {
 	f.c.past.Note(id, r)
