One piece each for counts of machines, for time that passes in histories, and for submissions

Read again: three gauges walked the roster alike; the gap passed time and submitted jobs with loops of its own beside those of the other meetings, which now look every 100 ms as it did.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -132,33 +132,19 @@
 	gauge("galleries_open", func(l *ledger.Ledger) float64 { open, _ := promises.Count(l); return float64(open) })
 	gauge("galleries_at_risk", func(l *ledger.Ledger) float64 { _, risky := promises.Count(l); return float64(risky) })
 	gauge("jobs_suspect", func(*ledger.Ledger) float64 { return float64(c.book.CountSuspects()) })
-	gauge("machines_faulty", func(l *ledger.Ledger) float64 {
-		k, now := 0, time.Now()
-		c.roster.Each(func(w *workers.Worker) {
-			if c.book.Faulty(l, w.ID, now) {
-				k++
-			}
+	count := func(name string, is func(l *ledger.Ledger, w *workers.Worker) bool) {
+		gauge(name, func(l *ledger.Ledger) (k float64) {
+			c.roster.Each(func(w *workers.Worker) {
+				if is(l, w) {
+					k++
+				}
+			})
+			return k
 		})
-		return float64(k)
-	})
-	gauge("machines_slow", func(*ledger.Ledger) float64 {
-		k := 0
-		c.roster.Each(func(w *workers.Worker) {
-			if c.book.Slow(w.ID) {
-				k++
-			}
-		})
-		return float64(k)
-	})
-	gauge("machines_deaf", func(*ledger.Ledger) float64 {
-		k := 0
-		c.roster.Each(func(w *workers.Worker) {
-			if w.Deaf() {
-				k++
-			}
-		})
-		return float64(k)
-	})
+	}
+	count("machines_faulty", func(l *ledger.Ledger, w *workers.Worker) bool { return c.book.Faulty(l, w.ID, time.Now()) })
+	count("machines_slow", func(_ *ledger.Ledger, w *workers.Worker) bool { return c.book.Slow(w.ID) })
+	count("machines_deaf", func(_ *ledger.Ledger, w *workers.Worker) bool { return w.Deaf() })
 	gauge("machines_awaited", func(*ledger.Ledger) float64 { k, _ := c.lead.Awaited(); return float64(k) })
 	gauge("machines_overdue", func(*ledger.Ledger) float64 { _, k := c.lead.Awaited(); return float64(k) })
 	gauge("machines_held", func(*ledger.Ledger) float64 { return float64(c.roster.Len()) })
--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -45,12 +45,6 @@
 	h.cloud.Run = func(wire.TaskID) time.Duration { return 10 * time.Minute }
 	ctx, cancel := context.WithCancel(t.Context())
 	h.begin(ctx, 8, 0)
-	pass := func(d time.Duration) {
-		for end := time.Now().Add(d); time.Now().Before(end); {
-			time.Sleep(100 * time.Millisecond)
-			h.look()
-		}
-	}
 	var jobs []*wire.JobSpec
 	for i := range 12 {
 		s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: "free", Shape: wire.Array, Priority: wire.Normal,
@@ -61,16 +55,10 @@
 		if i%3 == 1 {
 			s.Checkpoint, s.Save = 5, 2
 		}
-		h.world.Upload(s)
 		jobs = append(jobs, s)
-		h.group.Go(func() {
-			_, _ = askAny(ctx, h, string(s.ID), func(ctx context.Context, c *Core) (wire.JobStatus, error) {
-				st, _, err := c.Users.Submit(ctx, s)
-				return st, err
-			})
-		})
+		h.group.Go(func() { h.submit(ctx, s) })
 	}
-	pass(40 * time.Second)
+	h.pass(40 * time.Second)
 	for round := range 2 {
 		if round == 1 && !g.twice {
 			break
@@ -106,7 +94,7 @@
 				}
 			})
 		}
-		pass(g.outage)
+		h.pass(g.outage)
 		over := h.outage()
 		endMesh := func() {}
 		if g.mesh == "lost" {
@@ -121,15 +109,15 @@
 				h.mu.Unlock()
 			}
 		}
-		pass(max(0, g.refused-g.outage))
-		pass(h.world.CancelS + 12*time.Second - max(0, g.refused-g.outage))
+		h.pass(max(0, g.refused-g.outage))
+		h.pass(h.world.CancelS + 12*time.Second - max(0, g.refused-g.outage))
 		endAlone()
 		endMesh()
 		over()
 		for _, l := range h.links {
 			l.SetSlow(0)
 		}
-		pass(20 * time.Second)
+		h.pass(20 * time.Second)
 	}
 	h.finish(cancel)
 	if g.mesh == "whole" && g.then == "" && h.world.Lapsed > 0 {
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -25,7 +25,7 @@
 // pass lets time go by, with the rules checked all the while.
 func (h *history) pass(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 		h.look()
 	}
 }
