--- a/internal/controller/steps_test.go
+++ b/internal/controller/steps_test.go
@@ -149,11 +149,20 @@
 	in(3, func(b *beside) {
 		wide := b.scatter("wf-000001", 300, "free", wire.Normal, 0)
 		clock.Sleep(b.ctx, 20*time.Second)
-		for i := range 3 { // whoever drives it, all can tell of it
-			st, err := b.core(i).Workflows.Status(b.ctx, "wf-000001")
-			if err != nil || len(st.Steps) != 1 || st.Steps[0].State != "running" || st.Steps[0].Over == 0 || st.Steps[0].Total != 300 {
-				t.Errorf("m-%d tells %+v, %v", i, st, err)
+		// Whoever drives it, all can tell of it. What was driven last is told of with up to 3 s of
+		// lag, as any state: who told less than another catches up. The first steps end about now.
+		most := 1
+		for round := range 2 {
+			for i := range 3 {
+				st, err := b.core(i).Workflows.Status(b.ctx, "wf-000001")
+				if err != nil || len(st.Steps) != 1 || st.Steps[0].State != "running" || st.Steps[0].Total != 300 || round == 1 && st.Steps[0].Over < most {
+					t.Errorf("m-%d tells %+v, %v; %d were over 3 s ago", i, st, err, most)
+				}
+				if round == 0 && err == nil && len(st.Steps) == 1 {
+					most = max(most, st.Steps[0].Over)
+				}
 			}
+			clock.Sleep(b.ctx, 3*time.Second)
 		}
 		from := time.Now()
 		claim := b.plain(1, "free", wire.High, 0)
