A gang's claims are taken over by who holds its machines; workflows in lists of cancellations

A gang's task that gave up waiting may rejoin only under the claim's own token. When its machine came to another controller while one of the gang's machines fetched, giving up released the claim, the gang was stopped and began anew, fetches and all. Where machines change hands about as often as an image takes to fetch, as with reports that are held back now and then, it never began.

Change: a controller that holds the machine under a newer token, once the worker shows that it has accepted it, writes that token into the gang's claim (ledger.TakeOver, conditioned on the job's record and the machine's standing) and has the task wait on. A cancelled workflow is handed over to a refused leader as jobs are, so that it need not fall silent.

TestGangWaitsOnInOtherHands (a fetch of 80 s while four controllers end): one attempt; with the new step taken out it fails.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -233,12 +233,11 @@
 	if s.Cancelled > ask.Revision {
 		c.mirror.Read(func(l *ledger.Ledger) {
 			// Read after the status: it may hold more, and vouches for no more than it lists.
-			s.Ended, s.Whole = l.CancelledSince(ask.Revision)
-			s.Since, s.Cancelled = ask.Revision, l.LastCancel()
+			lacks, whole := l.CancelledSince(ask.Revision)
+			if s.Since, s.Cancelled = ask.Revision, l.LastCancel(); lacks.Len() <= mostEnded {
+				s.Ended, s.Flows, s.Whole = lacks.Jobs, lacks.Flows, whole
+			}
 		})
-		if len(s.Ended) > mostEnded {
-			s.Ended, s.Whole = nil, false
-		}
 	}
 	return s
 }
@@ -288,17 +287,13 @@
 	return s
 }
 
-// doom notes in a ledger what a peer lists as cancelled.
-func doom(l *ledger.Ledger, s *mesh.Status) {
-	for _, id := range s.Ended {
-		l.Doom(id)
-	}
-}
+// listed is what a peer lists as cancelled.
+func listed(s *mesh.Status) ledger.Cancels { return ledger.Cancels{Jobs: s.Ended, Flows: s.Flows} }
 
 // heardPeer takes in what a peer told.
 func (c *Core) heardPeer(a mesh.Answer) {
 	c.mirror.Read(func(l *ledger.Ledger) {
-		doom(l, &a.Status)
+		l.Doom(listed(&a.Status))
 		c.members.Heard(a.Status, a.Asked) // it may vouch from now on, for this ledger
 		c.book.Hear(l, a.Status.Suspects, a.Asked)
 		c.book.HearFailures(a.Status.Failures)
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -64,7 +64,7 @@
 	// What peers list as cancelled they vouch with for these records as well: read anew, or with
 	// jobs that were not known when the status came.
 	for _, p := range f.c.members.Peers() {
-		doom(f.c.mirror.Records(), &p.Status)
+		f.c.mirror.Records().Doom(listed(&p.Status))
 	}
 	f.c.schedule.Retouch(now)
 }
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -78,6 +78,47 @@
 	}
 }
 
+// TestGangWaitsOnInOtherHands: one machine of a gang fetches for longer than the others wait, and
+// the machines come to other controllers meanwhile: theirs end one after the other, or their
+// reports are not answered in time. Whoever holds a machine that gave up takes the claim over, and
+// the gang begins as one attempt; before, each such change made it begin anew, fetches and all.
+func TestGangWaitsOnInOtherHands(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := meeting(t, seed, 3)
+			gang := &wire.JobSpec{ID: "wk-000003", Shape: wire.Gang, Tasks: 3, GPUs: 2}
+			h.world.Fetch = func(_ wire.MachineID, task wire.TaskID) time.Duration {
+				return []time.Duration{80 * time.Second, 3 * time.Second, 20 * time.Second}[task.Index]
+			}
+			h.cloud.Run = func(wire.TaskID) time.Duration { return 20 * time.Second }
+			ctx, cancel := context.WithCancel(t.Context())
+			h.copies = seed%2 == 0
+			last := wire.Attempt(0)
+			h.reported = func(_ int, r *wire.Report) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				for i := range r.Tasks {
+					last = max(last, r.Tasks[i].Attempt)
+				}
+			}
+			h.begin(ctx, 4, 0)
+			h.submit(ctx, gang)
+			for i := range 4 {
+				h.pass(time.Duration(12+3*seed) * time.Second)
+				h.crash(i % h.n)
+				h.pass(300 * time.Millisecond)
+				h.restart(ctx, i%h.n)
+			}
+			h.pass(100 * time.Second)
+			st := h.ask(ctx, gang.ID)
+			h.verdict(cancel)
+			if st != wire.Done || last != 1 {
+				t.Errorf("seed %d: it is %s after attempt %d", seed, st, last)
+			}
+		})
+	}
+}
+
 // TestOldReportOfAWaitingGang: a gang's task gives up waiting and rejoins under its attempt. A
 // copy of the report that showed it given up arrives later, at a controller that never held the
 // machine, or at its holder's next life. The attempt that now runs must go on: before, its claim
--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -151,6 +151,11 @@
 		c.Writer.Enqueue(ch)
 		waits = append(waits, ch)
 	}
+	for _, h := range f.GaveUp {
+		ch := c.takeOver(w, h, began.Add(c.reportWait()))
+		c.Writer.Enqueue(ch)
+		waits = append(waits, ch)
+	}
 	if !w.Recall.IsZero() {
 		for _, ch := range c.gangStops(r.Machine) {
 			c.Writer.Enqueue(ch)
@@ -303,6 +308,30 @@
 	return out
 }
 
+// takeOver has a gang's tasks that gave up waiting wait on, though another controller claimed them:
+// the claim comes under our token, and the answer starts them again. A gang whose machines change
+// hands while one of them fetches would else begin anew each time.
+func (c *Workers) takeOver(w *workers.Worker, h ledger.Held, until time.Time) *writer.Change {
+	id, attempt, site := h.Job.ID, h.Attempt, c.siteOf(w)
+	return &writer.Change{Drop: true, Until: until, Draft: func(d *ledger.Draft) error {
+		if j := c.led().Job(id); j != nil && c.holds(w, site) {
+			return d.TakeOver(j, attempt, site)
+		}
+		return ledger.ErrStale
+	}}
+}
+
+// siteOf is a machine as claims name it, under the token that it is held under now.
+func (c *Workers) siteOf(w *workers.Worker) ledger.Site {
+	m := place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold}
+	return m.Site()
+}
+
+// holds reports whether a machine is still heard and held as when something was decided for it.
+func (c *Workers) holds(w *workers.Worker, site ledger.Site) bool {
+	return c.Roster.Worker(w.ID) == w && w.Session == site.Session && w.Hold == site.Token
+}
+
 // await waits, with the lock released, until changes are durable or dropped and
 // reports whether any was not made. When ctx ends first it gives up.
 func (c *Workers) await(ctx context.Context, waits []*writer.Change) (dropped bool) {
@@ -355,8 +384,7 @@
 
 // startChange returns the claim to commit for some of what a machine is given.
 func (c *Workers) startChange(w *workers.Worker, starts []place.Start, until time.Time) *writer.Change {
-	m := place.Machine{ID: w.ID, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Session: w.Session, Token: w.Hold}
-	site := m.Site()
+	site := c.siteOf(w)
 	var claimed []place.Start // by the draft made last
 	made := func() {
 		for _, s := range claimed {
@@ -367,7 +395,7 @@
 	late := slices.ContainsFunc(starts, func(s place.Start) bool { return s.Late })
 	return &writer.Change{Drop: true, Until: until, Late: late, Made: made, Draft: func(d *ledger.Draft) error {
 		claimed = nil
-		if c.Roster.Worker(w.ID) != w || w.Session != site.Session || w.Hold != site.Token {
+		if !c.holds(w, site) {
 			return ledger.ErrStale
 		}
 		// A gang may have been placed there meanwhile; what does not fit any more
--- a/internal/ledger/cancels.go
+++ b/internal/ledger/cancels.go
@@ -16,18 +16,20 @@
 	above wire.Revision
 }
 
+// cancelled is a job or a workflow, with all of its steps' jobs.
 type cancelled struct {
-	at  wire.Revision
-	job wire.JobID
+	at   wire.Revision
+	job  wire.JobID
+	flow wire.WorkflowID
 }
 
 // add notes a cancellation. While records are read they come in any order.
-func (c *cancels) add(at wire.Revision, job wire.JobID) {
-	if at <= c.above {
+func (c *cancels) add(one cancelled) {
+	if one.at <= c.above {
 		return
 	}
-	i, _ := slices.BinarySearchFunc(c.list, at, func(x cancelled, at wire.Revision) int { return cmp.Compare(x.at, at+1) })
-	c.list = slices.Insert(c.list, i, cancelled{at, job})
+	i, _ := slices.BinarySearchFunc(c.list, one.at, func(x cancelled, at wire.Revision) int { return cmp.Compare(x.at, at+1) })
+	c.list = slices.Insert(c.list, i, one)
 	if over := len(c.list) - mostCancels; over > 0 {
 		c.incomplete(c.list[over-1].at)
 	}
@@ -39,22 +41,43 @@
 	c.list = slices.DeleteFunc(c.list, func(x cancelled) bool { return x.at <= c.above })
 }
 
-// CancelledSince lists the jobs on record that were cancelled after a revision, false if they
-// can't all be told. Jobs that have left the records since run nowhere.
-func (l *Ledger) CancelledSince(r wire.Revision) (jobs []wire.JobID, whole bool) {
+// Cancels is what was cancelled after a revision: jobs, and workflows with all of their steps' jobs.
+type Cancels struct {
+	Jobs  []wire.JobID
+	Flows []wire.WorkflowID
+}
+
+// Len is how many entries it has.
+func (c *Cancels) Len() int { return len(c.Jobs) + len(c.Flows) }
+
+// CancelledSince lists what is on record and was cancelled after a revision, false if not all of
+// it can be told. Jobs that have left the records since run nowhere.
+func (l *Ledger) CancelledSince(r wire.Revision) (c Cancels, whole bool) {
 	for _, x := range l.cancels.list {
-		if x.at > r {
-			jobs = append(jobs, x.job)
+		switch {
+		case x.at <= r:
+		case x.flow != "":
+			c.Flows = append(c.Flows, x.flow)
+		default:
+			c.Jobs = append(c.Jobs, x.job)
 		}
 	}
-	return jobs, r >= l.cancels.above
+	return c, r >= l.cancels.above
 }
 
-// Doom notes that a job is cancelled, as another controller's ledger has it, before this one does:
-// nothing of it starts any more, and all of it is to stop. Its end goes on record with its own
+// Doom notes that jobs are cancelled, as another controller's ledger has it, before this one does:
+// nothing of them starts any more, and all of it is to stop. Their end goes on record with their own
 // cancellation.
-func (l *Ledger) Doom(id wire.JobID) {
-	if j := l.active[id]; j != nil {
-		j.Doomed = true
+func (l *Ledger) Doom(c Cancels) {
+	for _, id := range c.Jobs {
+		if j := l.active[id]; j != nil {
+			j.Doomed = true
+		}
+	}
+	if len(c.Flows) == 0 {
+		return
+	}
+	for _, j := range l.active {
+		j.Doomed = j.Doomed || j.Of != "" && slices.Contains(c.Flows, j.Of)
 	}
 }
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -524,6 +524,40 @@
 	})
 }
 
+// TakeOver puts what a gang's attempt claims on a machine under the token of who holds the machine
+// now, once the worker accepts no lower one: only under its own token may a controller have tasks
+// that gave up waiting wait on. Nothing is claimed by it, and none of its claims goes.
+func (d *Draft) TakeOver(j *Job, attempt wire.Attempt, site Site) error {
+	return d.try(func() error {
+		w := d.job(j)
+		if j.Spec.Shape != wire.Gang || w.stop >= attempt {
+			return ErrStale
+		}
+		if err := d.checkSite(w, site); err != nil {
+			return err
+		}
+		d.read(j, 0) // the gang's state and stop, whichever range is written
+		taken := false
+		for n := range j.chunks {
+			moved := false
+			for i := range w.chunk(n).Claims {
+				o := &w.chunk(n).Claims[i]
+				if o.Attempt == attempt && o.Machine == site.Machine && o.Session == site.Session && o.Token < site.Token {
+					o.Token, moved = site.Token, true
+				}
+			}
+			if moved {
+				d.write(w, n)
+			}
+			taken = taken || moved
+		}
+		if !taken {
+			return ErrStale
+		}
+		return nil
+	})
+}
+
 func (d *Draft) checkSite(w *draftJob, site Site) error {
 	if w.state != Active || !Allowed(w.spec, site.Type, site.Zone, site.Spot) {
 		return ErrStale
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -508,7 +508,7 @@
 	}
 	if r.State == Cancelled && j.State != Cancelled {
 		l.cancelled = max(l.cancelled, e.Version)
-		l.cancels.add(e.Version, id)
+		l.cancels.add(cancelled{at: e.Version, job: id})
 	}
 	if j.Gallery != r.Gallery {
 		l.inGalleryOf(j, r.Gallery)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -217,6 +217,8 @@
 				} else {
 					_, _ = d.Claim(j, site(machine, wire.Token(who+1)), 1+rng.IntN(5), nil)
 				}
+			case 7:
+				_ = d.TakeOver(j, j.Attempt(), site(machine, wire.Token(who+1)))
 			default:
 				if j.Spec.Shape == wire.Gang && j.Spec.Tasks > 1 && rng.IntN(2) == 0 {
 					// One of its tasks is done, which proves it of all.
--- a/internal/ledger/workflows.go
+++ b/internal/ledger/workflows.go
@@ -77,7 +77,7 @@
 		// Like a job's: whoever answers workers must know of it, and from now on no task of
 		// its steps starts and all are told to stop, before their jobs' own records say so.
 		l.cancelled = max(l.cancelled, e.Version)
-		l.cancels.incomplete(e.Version) // its steps aren't listed
+		l.cancels.add(cancelled{at: e.Version, flow: id})
 		for _, j := range l.active {
 			j.Doomed = j.Doomed || j.Of == id
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -65,13 +65,14 @@
 	Reads     int           `cbor:"14,keyasint,omitempty" json:"-"` // newest format of records; 0: the first
 	Modules   []Module      `cbor:"15,keyasint,omitempty" json:"-"`
 	Failures  []Failure     `cbor:"16,keyasint,omitempty" json:"-"`
-	// What the one who asks lacks: the jobs cancelled after the revision that it said, if Whole all
-	// of them that this controller may have told of.
-	Since    wire.Revision `cbor:"19,keyasint,omitempty" json:"-"`
-	Ended    []wire.JobID  `cbor:"20,keyasint,omitempty" json:"-"`
-	Whole    bool          `cbor:"21,keyasint,omitempty" json:"-"`
-	Register int           `cbor:"18,keyasint,omitempty" json:"-"` // edition of the register of galleries; 0: none
-	Keeping  []Emptying    `cbor:"17,keyasint,omitempty" json:"-"` // for late gangs: nothing is stopped for it
+	// What the one who asks lacks: the jobs and the workflows cancelled after the revision that it
+	// said, if Whole all of them that this controller may have told of.
+	Since    wire.Revision     `cbor:"19,keyasint,omitempty" json:"-"`
+	Ended    []wire.JobID      `cbor:"20,keyasint,omitempty" json:"-"`
+	Flows    []wire.WorkflowID `cbor:"22,keyasint,omitempty" json:"-"`
+	Whole    bool              `cbor:"21,keyasint,omitempty" json:"-"`
+	Register int               `cbor:"18,keyasint,omitempty" json:"-"` // edition of the register of galleries; 0: none
+	Keeping  []Emptying        `cbor:"17,keyasint,omitempty" json:"-"` // for late gangs: nothing is stopped for it
 }
 
 // Failure is a task's error on a machine that a controller held lately, where machines are judged
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -74,8 +74,9 @@
 
 // Findings is what a report tells.
 type Findings struct {
-	Exits []Exit
-	Seen  []Seen
+	Exits  []Exit
+	Seen   []Seen
+	GaveUp []ledger.Held // claims under a lower token of gangs' tasks that are to wait on: to be taken over first
 }
 
 // Take takes in a report that is not stale and tells which claims it proves to
@@ -131,6 +132,11 @@
 				// The report is from before the claim's session.
 			case t != nil && w.rejoins(h, t):
 				// It is sent again under its claim.
+			case t != nil && w.Recall.IsZero() && h.Token < hold && w.gaveUp(h, t):
+				f.Seen = append(f.Seen, Seen{h, task, t.State})
+				if !slices.ContainsFunc(f.GaveUp, func(o ledger.Held) bool { return o.Job == h.Job && o.Attempt == h.Attempt }) {
+					f.GaveUp = append(f.GaveUp, h)
+				}
 			case t != nil && t.State == wire.TaskExited && t.Cause == wire.CauseAlone && (!w.Fresh || h.Token > hold):
 				// Whoever holds the machine may have it wait on under the same attempt: an old
 				// report of its giving up, taken by another controller, proves nothing. Once the
@@ -170,9 +176,16 @@
 // rejoins reports whether a gang's task that gave up waiting for the others is to
 // wait on under the same attempt. Otherwise a gang of which some machines have to
 // fetch its image for longer than a task waits would be stopped, fetches and all,
-// and begin anew for ever.
+// and begin anew for ever. Only who claimed it, or has taken the claim over, may: of all others
+// the worker's end of it is proof.
 func (w *Worker) rejoins(h ledger.Held, t *wire.TaskReport) bool {
-	return t.State == wire.TaskExited && t.Cause == wire.CauseAlone && w.Fresh && h.Token == w.Hold && w.wanted(h)
+	return h.Token == w.Hold && w.gaveUp(h, t)
+}
+
+// gaveUp reports whether a task gave up waiting for a gang that is still wanted, by a report that
+// nobody else can have overtaken.
+func (w *Worker) gaveUp(h ledger.Held, t *wire.TaskReport) bool {
+	return t.State == wire.TaskExited && t.Cause == wire.CauseAlone && w.Fresh && w.wanted(h)
 }
 
 // wanted reports whether a claim's tasks should be on the machine.
