Ranges of a controller's own, starts of all priorities in turn, accelerators rented ahead

Change: a controller claims tasks of a large job from ranges of its own first (it was a hash of the machine's name); starts of all priorities take turns in batches; where there are machine types without accelerators, as many machines with them are rented ahead as are left idle anyway, no more than are in use. The last is inert where all types have accelerators.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -86,7 +86,12 @@
 // Limits are what a deployment's state service takes, and the rules of its teams.
 func Limits(set *settings.Settings) ledger.Limits {
 	l := ledger.Limits{ValueBytes: set.ValueBytes(), TxnOps: set.Cluster.State.TxnOps,
-		TxnBytes: state.TxnBytes, TeamMax: map[wire.Team]ledger.Resources{}}
+		TxnBytes: state.TxnBytes, TeamMax: map[wire.Team]ledger.Resources{}, Of: 1 + len(set.Peers)}
+	for _, p := range set.Peers {
+		if p.Member < set.Member {
+			l.Number++
+		}
+	}
 	for _, t := range set.Cluster.Teams {
 		if t.Capped() {
 			l.TeamMax[t.Name] = ledger.NewResources(t.CPUsMax, t.GPUsMax, 0)
--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -4,6 +4,7 @@
 package desk
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"log/slog"
@@ -393,7 +394,8 @@
 		}
 	}
 	late := slices.ContainsFunc(starts, func(s place.Start) bool { return s.Late })
-	return &writer.Change{Drop: true, Until: until, Late: late, Made: made, Draft: func(d *ledger.Draft) error {
+	first := slices.MinFunc(starts, func(a, b place.Start) int { return cmp.Compare(a.Job.Spec.Priority.Rank(), b.Job.Spec.Priority.Rank()) })
+	return &writer.Change{Drop: true, Until: until, Late: late, Work: first.Job.Spec.Priority, Made: made, Draft: func(d *ledger.Draft) error {
 		claimed = nil
 		if !c.holds(w, site) {
 			return ledger.ErrStale
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -230,6 +231,13 @@
 			open = slices.DeleteFunc(open, full)
 		}
 	}
+	left := in.left()
+	for _, k := range slices.SortedFunc(maps.Keys(left), func(a, b Option) int { return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone)) }) {
+		for n := in.missing(k, left[k], slots); n > 0 && (in.Most == 0 || total < in.Most); n-- {
+			hired[k]++
+			total++
+		}
+	}
 	for o, n := range hired {
 		plan.Hire = append(plan.Hire, Need{o, n})
 	}
@@ -247,7 +255,6 @@
 	slices.SortFunc(idle, func(a, b Unit) int {
 		return cmp.Or(cmp.Compare(in.price(b.option()), in.price(a.option())), a.IdleSince.Compare(b.IdleSince))
 	})
-	left := in.left()
 	for _, u := range idle[:max(0, len(idle)-spare)] {
 		f := in.Flavors[u.Type]
 		if k := (Option{Type: u.Type, Zone: u.Zone}); left[k] > 0 {
@@ -286,6 +293,25 @@
 	return left
 }
 
+// missing is how many machines of a type in a zone are to be rented so that some are left idle by
+// this plan, no more than are in use: work that needs them begins without waiting for a boot.
+func (in *Input) missing(k Option, left int, slots []*slot) int {
+	inUse, idle := 0, 0
+	for _, s := range slots {
+		switch u := &s.unit; {
+		case u.Type != k.Type || u.Zone != k.Zone || u.Spot:
+		case s.used || len(u.Busy) > 0:
+			inUse++
+		default:
+			idle++
+		}
+	}
+	if in.Refused(k) {
+		return 0
+	}
+	return max(0, min(left, inUse)-idle)
+}
+
 // roomiest is the zone whose machines have room for the most of a gang's tasks, "" if
 // there is none.
 func roomiest(open []*slot, fits func(*slot) int) (best wire.Zone) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -160,3 +160,45 @@
 		}
 	}
 }
+
+// TestAcceleratorsInReserve: where there are machine types without accelerators, as many machines
+// with them are rented ahead as are left idle anyway, no more than are in use, and only such as any
+// work may run on. Gangs waited for a boot each time that the fleet grew.
+func TestAcceleratorsInReserve(t *testing.T) {
+	gpu := wire.Flavor{Name: "gpu", CPUs: 8, GPUs: 2, MemoryGB: 32, Price: 4, SpotPrice: 1, Boot: 20, Zones: []wire.Zone{"a"}}
+	for _, tc := range []struct {
+		name                string
+		busy, idle, booting int
+		mixed, refused      bool
+		want                int
+	}{
+		{"none in use", 0, 1, 0, true, false, 0},
+		{"one in use", 1, 0, 0, true, false, 1},
+		{"a quarter", 16, 0, 0, true, false, 4},
+		{"some are idle", 14, 2, 0, true, false, 2},
+		{"some boot", 16, 0, 3, true, false, 1},
+		{"no capacity", 16, 0, 0, true, true, 0},
+		{"only such types", 16, 0, 0, false, false, 0},
+	} {
+		in := &Input{Now: now, Flavors: map[wire.MachineSKU]wire.Flavor{"gpu": gpu}, IdleBoots: 1, Spot: true,
+			TeamRoom: func(_ *ledger.Job, _ ledger.Resources, most int) int { return most }, Refused: func(Option) bool { return tc.refused }}
+		if tc.mixed {
+			in.Flavors["cpu"] = wire.Flavor{Name: "cpu", CPUs: 4, MemoryGB: 16, Price: 1, Boot: 20, Zones: []wire.Zone{"a"}}
+		}
+		for i := range tc.busy + tc.idle + tc.booting {
+			u := Unit{ID: wire.MachineID(fmt.Sprint("host-", i)), Type: "gpu", Zone: "a", Usable: true, Total: ledger.NewResources(8, 2, 32)}
+			switch {
+			case i < tc.busy:
+				u.Busy = []place.Busy{{Until: now.Add(time.Minute), Room: u.Total}}
+			case i < tc.busy+tc.idle:
+				u.IdleSince = now
+			default:
+				u.Booting = true
+			}
+			in.Units = append(in.Units, u)
+		}
+		if p := Make(in); hired(p, false) != tc.want || hired(p, true) != 0 {
+			t.Errorf("%s: rented %+v, want %d", tc.name, p.Hire, tc.want)
+		}
+	}
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -613,7 +613,7 @@
 		j, parts := g.Entry.Job, g.Parts
 		id, n := j.ID, j.Pending()
 		made := func() { c.log.Info("start", "job", id, "tasks", n, "machines", len(parts)) }
-		ch := &writer.Change{Drop: true, Until: now.Add(2 * time.Second), Late: g.Entry.Late, Made: made, Draft: func(d *ledger.Draft) error {
+		ch := &writer.Change{Drop: true, Until: now.Add(2 * time.Second), Late: g.Entry.Late, Work: j.Spec.Priority, Made: made, Draft: func(d *ledger.Draft) error {
 			j := c.led().Job(id)
 			if j == nil || slices.ContainsFunc(parts, func(p ledger.Placed) bool { return c.led().Free(p.Site).Times(j.Need, p.Count) < p.Count }) {
 				return ledger.ErrStale // a holder has given the room away meanwhile
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -374,12 +374,10 @@
 		count = min(count, zoneRoom(j.Spec, site.Zone, w.eachClaim), d.teamRoom(j, count))
 		size := j.chunkTasks
 		ranges := (j.Spec.Tasks + size - 1) / size
-		// Machines begin at different ranges of a large job, so that controllers that
-		// start tasks of it at the same time seldom write the same record.
-		begin := 0
-		if ranges > 1 {
-			begin = int(spreadOf(site.Machine) % uint32(ranges))
-		}
+		// Controllers begin at different ranges of a large job. Those that start tasks of it at the
+		// same time seldom write the same record, and starts and ends that one records together are
+		// in few.
+		begin := d.l.limits.begin(j.ID, ranges)
 		for k := 0; k < ranges && got < count; k++ {
 			n := (begin + k) % ranges
 			if c := j.chunks[n]; c != nil && w.chunks[n] == nil && c.done+c.held >= min(size, j.Spec.Tasks-n*size) {
@@ -426,11 +424,14 @@
 	return got, nil
 }
 
-// spreadOf is a number that tells machines apart.
-func spreadOf(m wire.MachineID) uint32 {
+// begin is the range of a job's that this controller claims tasks of first.
+func (l *Limits) begin(id wire.JobID, ranges int) int {
+	if ranges == 1 {
+		return 0
+	}
 	h := fnv.New32a()
-	h.Write([]byte(m))
-	return h.Sum32()
+	h.Write([]byte(id))
+	return (int(h.Sum32()%uint32(ranges)) + ranges*l.Number/max(1, l.Of)) % ranges
 }
 
 // roomIn is how many of the tasks, as one start, a range's record has room for however
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,6 +18,7 @@
 	TxnOps     int
 	TxnBytes   int
 	TeamMax    map[wire.Team]Resources // capped teams only; 0 in an amount: none
+	Number, Of int                     // this controller's among all; 0 of 0: it is alone
 }
 
 // binds reports whether a team's limit is on something that a task needs.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -352,6 +352,44 @@
 	}
 }
 
+// TestControllersBeginApart: starts of a large job that one controller makes on several machines
+// are in one record, and those of others in other records, whichever of its jobs it is. They once
+// began where the machine's name led, and ten starts took as many changes as there were ranges.
+func TestControllersBeginApart(t *testing.T) {
+	for _, controllers := range []int{2, 3, 7} {
+		for i := range 20 {
+			s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Class: "c", Team: "free", Shape: wire.Array, Priority: wire.Normal,
+				Tasks: controllers * 8 * (1 + i%3), CPUs: 1, Image: "i"}
+			by := map[string]int{} // which controller wrote a record of the job
+			for n := range controllers {
+				lim := limits
+				lim.Number, lim.Of = n, controllers
+				l := ledger.New(lim)
+				submit := l.NewDraft()
+				if err := submit.Submit(s, 1); err != nil {
+					t.Fatal(err)
+				}
+				accepted, _ := submit.Txn()
+				l.Apply(ledger.Event{Key: accepted.Then[0].Put, Value: accepted.Then[0].Value, Version: 1})
+				d := l.NewDraft()
+				for m := range 4 {
+					if got, err := d.Claim(l.Job(s.ID), site(m, 1), 2, nil); got != 2 || err != nil {
+						t.Fatalf("%d of 2 claimed: %v", got, err)
+					}
+				}
+				txn, err := d.Txn()
+				if err != nil || len(txn.Then) != 1 {
+					t.Fatalf("eight starts of %s by controller %d of %d take %d changes: %v", s.ID, n, controllers, len(txn.Then), err)
+				}
+				if o, ok := by[txn.Then[0].Put]; ok {
+					t.Errorf("controllers %d and %d of %d both write %s", o, n, controllers, txn.Then[0].Put)
+				}
+				by[txn.Then[0].Put] = n
+			}
+		}
+	}
+}
+
 // TestTwoLastRanges: two controllers that record the last tasks of different
 // ranges at once both see the other's open. The job must still end.
 func TestTwoLastRanges(t *testing.T) {
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -34,9 +34,10 @@
 	Draft func(*ledger.Draft) error
 	Drop  bool // a start: given up after Until
 	Until time.Time
-	Late  bool   // of work that has waited for too long: before other starts
-	Spare bool   // of work that only takes what others leave
-	Made  func() // called once it is durable, if given
+	Late  bool          // of work that has waited for too long: before other starts
+	Work  wire.Priority // what it starts; starts of all priorities take turns
+	Spare bool          // of work that only takes what others leave
+	Made  func()        // called once it is durable, if given
 
 	asked time.Time
 	done  chan error // gets one value
@@ -141,34 +142,35 @@
 	return max(2, min(w.opt.TxnOps, int(w.opt.Changes/2)))
 }
 
-// alternate orders a queue so that starts, which are given up after a while, and
-// all else take turns, each in its own order but for starts of what is late. In a flood
-// of exits no start would ever be in time otherwise.
+// alternate orders a queue so that starts, which are given up after a while, and all else take
+// turns: in a flood of exits no start would ever be in time otherwise. Among the starts those of
+// what is late come first, then those of all priorities take turns. In a flood of one priority,
+// also the highest, the few starts of another would be given up one report after the other.
 func alternate(queue []*Change) []*Change {
-	var starts, others []*Change
+	var others, late []*Change
+	var starts [5][]*Change
 	for _, ch := range queue {
-		if ch.Drop {
-			starts = append(starts, ch)
-		} else {
+		switch {
+		case !ch.Drop:
 			others = append(others, ch)
+		case ch.Late:
+			late = append(late, ch)
+		default:
+			n := ch.Work.Rank() + 1 // 0: none is told
+			starts[n] = append(starts[n], ch)
 		}
 	}
-	slices.SortStableFunc(starts, func(a, b *Change) int {
-		switch {
-		case a.Late == b.Late:
-			return 0
-		case a.Late:
-			return -1
-		}
-		return 1
-	})
-	out := queue[:0:0]
-	for i := range max(len(starts), len(others)) {
-		if i < len(others) {
-			out = append(out, others[i])
-		}
-		if i < len(starts) {
-			out = append(out, starts[i])
+	return turns(others, append(late, turns(starts[:]...)...))
+}
+
+// turns takes one of each list at a time, in the lists' order.
+func turns(lists ...[]*Change) (out []*Change) {
+	for i, more := 0, true; more; i++ {
+		more = false
+		for _, l := range lists {
+			if i < len(l) {
+				out, more = append(out, l[i]), true
+			}
 		}
 	}
 	return out
--- a/internal/writer/writer_test.go
+++ b/internal/writer/writer_test.go
@@ -124,6 +124,23 @@
 	if got != "051423" {
 		t.Errorf("order %s with a late start", got)
 	}
+	// Starts of all priorities take turns: four gangs that come with 2,000 tasks of services once
+	// waited for two reports, since their starts were given up in the queue behind the services'.
+	queue = nil
+	for i := range 8 {
+		work := wire.Production
+		if i >= 5 {
+			work = []wire.Priority{wire.Normal, wire.High, wire.High}[i-5]
+		}
+		queue = append(queue, &Change{Drop: true, Work: work, Until: time.Unix(int64(i), 0)})
+	}
+	got = ""
+	for _, ch := range alternate(queue) {
+		got += fmt.Sprint(ch.Until.Unix())
+	}
+	if got != "06517234" {
+		t.Errorf("order %s of starts of several priorities", got)
+	}
 }
 
 // TestSpareChangesLeaveRoom: changes of work that only takes what others leave come
