--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -26,7 +26,7 @@
 )
 
 // compared are the deployments' site files; each day of one is compared.
-var compared = []string{"next/hanbit-claims-grown", "next/hollinsend-galleries-grown", "more/hanbit-claims-ops", "more/hollinsend-galleries-ops",
+var compared = []string{"added/hollinsend-portraits", "more/hanbit-claims-ops", "more/hollinsend-galleries-ops",
 	"more/fleet/hanbit-claims-fleet", "more/fleet/hollinsend-galleries-fleet", "more/hunt/hanbit-claims-hunt", "more/hunt/hollinsend-galleries-hunt"}
 
 // badUse is what ends a run with status 2: it was asked for what there is not, or the bench told
--- a/cmd/regress/own.go
+++ b/cmd/regress/own.go
@@ -18,7 +18,7 @@
 const ownDir = "target/own"
 
 // ownSites are what days of our own are made from.
-var ownSites = []string{"more/hunt/hanbit-claims-hunt", "more/hunt/hollinsend-galleries-hunt"}
+var ownSites = []string{"added/hollinsend-portraits", "more/hunt/hanbit-claims-hunt", "more/hunt/hollinsend-galleries-hunt"}
 
 // runOwn plays days of our own, made from the operators' largest deployments, several at once.
 // It fails with what fails on them; there are no figures to compare. Of the meetings, whose times
@@ -114,14 +114,15 @@
 	if err != nil {
 		return "", nil, err
 	}
-	if err := os.MkdirAll(ownDir, 0o755); err != nil {
+	dir := filepath.Join(ownDir, fmt.Sprint(site["name"])) // deployments may differ in what lies beside them
+	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return "", nil, err
 	}
-	out := filepath.Join(ownDir, fmt.Sprint(site["name"], ".toml"))
+	out := filepath.Join(dir, fmt.Sprint(site["name"], ".toml"))
 	if b, err = toml.Marshal(site); err != nil {
 		return "", nil, err
 	}
-	return out, days, errors.Join(os.WriteFile(out, b, 0o644), os.WriteFile(filepath.Join(ownDir, "wire.json"), wire, 0o644))
+	return out, days, errors.Join(os.WriteFile(out, b, 0o644), os.WriteFile(filepath.Join(dir, "wire.json"), wire, 0o644))
 }
 
 // playOwn plays one day and returns its table and what failed.
