Releases of lost machines are asked for once; changes of upper priorities go first, starts or not

The leader asked again every 3 s for all releases still to be written, until its queue was full of them and dropped starts; and releases of services stood among those of thousands of array tasks.

Change: what is on its way is not asked for again; exits take turns by priority as starts do, and the upper two priorities take three turns for one of the others.

TestReleasesAreAskedForOnce; the order in TestStartsAndExitsTakeTurns, for exits as well.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -129,7 +129,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	l := &leader{c: c, cloud: cl, version: version, began: time.Now(),
-		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*writer.Change{}, dark: map[wire.Zone]time.Time{}, returned: map[wire.MachineID]bool{}, released: map[wire.MachineID]time.Time{}, refused: map[fleet.Option]time.Time{}, settled: time.Now(), renewed: asked, judged: map[evidence.Kind]map[wire.MachineID]time.Time{}}
+		units: map[wire.MachineID]*unit{}, placing: map[wire.JobID]gangStart{}, marking: map[markKey]*writer.Change{}, dark: map[wire.Zone]time.Time{}, returned: map[wire.MachineID]bool{}, releasing: map[wire.MachineID][]*writer.Change{}, refused: map[fleet.Option]time.Time{}, settled: time.Now(), renewed: asked, judged: map[evidence.Kind]map[wire.MachineID]time.Time{}}
 	go func() {
 		for ctx.Err() == nil {
 			clock.Sleep(ctx, leaderRenew)
@@ -210,27 +210,27 @@
 
 // leader is the state of one term. A new one starts from the cloud's list.
 type leader struct {
-	c        *Lead
-	cloud    Cloud
-	version  wire.Revision
-	began    time.Time
-	hires    int
-	units    map[wire.MachineID]*unit
-	marking  map[markKey]*writer.Change // asked for, perhaps not yet in the ledger
-	placing  map[wire.JobID]gangStart   // decided, and not yet known to be in the ledger
-	refused  map[fleet.Option]time.Time // no capacity until
-	recent   []ledger.HireIntent        // asked for lately, by predecessors too
-	relearn  []ledger.HireIntent        // whose outcome is not known in this term
-	boots    evidence.Boots
-	madeRoom time.Time                    // when room for gangs was last looked for,
-	roomTook time.Duration                // and how long that took
-	dark     map[wire.Zone]time.Time      // cut off, to be left alone until
-	returned map[wire.MachineID]bool      // the cloud has confirmed it
-	released map[wire.MachineID]time.Time // when its claims were asked to be released
-	flavors  map[wire.MachineSKU]wire.Flavor
-	judged   map[evidence.Kind]map[wire.MachineID]time.Time // returned as faulty
-	settled  time.Time                                      // since when silence of machines counts
-	renewed  time.Time                                      // when the last renewal of the lease was asked for that succeeded
+	c         *Lead
+	cloud     Cloud
+	version   wire.Revision
+	began     time.Time
+	hires     int
+	units     map[wire.MachineID]*unit
+	marking   map[markKey]*writer.Change // asked for, perhaps not yet in the ledger
+	placing   map[wire.JobID]gangStart   // decided, and not yet known to be in the ledger
+	refused   map[fleet.Option]time.Time // no capacity until
+	recent    []ledger.HireIntent        // asked for lately, by predecessors too
+	relearn   []ledger.HireIntent        // whose outcome is not known in this term
+	boots     evidence.Boots
+	madeRoom  time.Time                           // when room for gangs was last looked for,
+	roomTook  time.Duration                       // and how long that took
+	dark      map[wire.Zone]time.Time             // cut off, to be left alone until
+	returned  map[wire.MachineID]bool             // the cloud has confirmed it
+	releasing map[wire.MachineID][]*writer.Change // its claims, perhaps still on record
+	flavors   map[wire.MachineSKU]wire.Flavor
+	judged    map[evidence.Kind]map[wire.MachineID]time.Time // returned as faulty
+	settled   time.Time                                      // since when silence of machines counts
+	renewed   time.Time                                      // when the last renewal of the lease was asked for that succeeded
 
 	flavorsAt, listAt time.Time
 	listed            bool
@@ -513,7 +513,7 @@
 
 func (l *leader) setMark(id wire.MachineID, mark ledger.MachineMark, why string) {
 	key := markKey{id, mark}
-	if ch := l.marking[key]; ch != nil && len(ch.Done()) == 0 {
+	if ch := l.marking[key]; ch != nil && open(ch) {
 		return // on its way
 	}
 	l.c.log.Info("machine leaves", "machine", id, "mark", mark, "why", why)
@@ -553,6 +553,7 @@
 	}
 	c.Mirror.Lock()
 	defer c.Mirror.Unlock()
+	maps.DeleteFunc(l.releasing, func(_ wire.MachineID, changes []*writer.Change) bool { return !slices.ContainsFunc(changes, open) })
 	gone := func(id wire.MachineID) bool { return l.returned[id] || c.led().Mark(id) == ledger.Gone }
 	c.led().Holders(func(id wire.MachineID, held []ledger.Held) {
 		if gone(id) {
@@ -568,26 +569,26 @@
 	return nil
 }
 
-// releaseAgain is after what time claims that are still there are released again.
-const releaseAgain = 3 * time.Second
+// open reports whether a change that was asked for is neither made nor dropped yet.
+func open(ch *writer.Change) bool { return len(ch.Done()) == 0 }
 
-// releaseAll releases the claims on a machine that the cloud has confirmed to
-// be gone.
+// releaseAll releases the claims on a machine that the cloud has confirmed to be gone. What is
+// still on its way is not asked for again: when a zone is lost, the releases of its hundreds of
+// machines take longer than any time that could be waited for, and asked for again and again
+// they once filled the queue, so that what was lost began nowhere else for minutes.
 func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
-	c := l.c
-	now := time.Now()
-	if now.Sub(l.released[id]) < releaseAgain {
-		return // on its way
+	if slices.ContainsFunc(l.releasing[id], open) {
+		return
 	}
-	l.released[id] = now
 	var exits []workers.Exit
 	for _, h := range held {
 		for i := range h.Count {
 			exits = append(exits, workers.Exit{Held: h, Task: h.First + wire.TaskIndex(i)})
 		}
 	}
-	for _, ch := range workers.ExitChanges(c.Mirror, exits) {
-		c.Writer.Enqueue(ch)
+	l.releasing[id] = workers.ExitChanges(l.c.Mirror, exits)
+	for _, ch := range l.releasing[id] {
+		l.c.Writer.Enqueue(ch)
 	}
 }
 
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"maddermill/internal/cloud"
@@ -207,3 +209,36 @@
 		t.Errorf("%d of 30 are returned later", n)
 	}
 }
+
+// TestReleasesAreAskedForOnce: claims on machines that are gone are not asked to be released again
+// while that is on its way, however long it takes, and are when it was dropped. Asked for every 3 s,
+// those of a lost zone once filled the queue for minutes.
+func TestReleasesAreAskedForOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quiet(t) // its writer writes nothing
+		l := &leader{c: c, releasing: map[wire.MachineID][]*writer.Change{}}
+		var held []ledger.Held
+		for i := range 3 {
+			j := &ledger.Job{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Spec: &wire.JobSpec{Priority: wire.Normal}}
+			held = append(held, ledger.Held{Job: j, Claim: ledger.Claim{Count: 2, Attempt: 1, Machine: "host-1", Session: 1, Token: 1}})
+		}
+		l.releaseAll("host-1", held)
+		first := l.releasing["host-1"]
+		time.Sleep(time.Minute)
+		l.releaseAll("host-1", held)
+		if len(first) != 3 || !slices.Equal(first, l.releasing["host-1"]) {
+			t.Errorf("%d changes, then others", len(first))
+		}
+		for dropped := false; !dropped; { // the queue fills up
+			ch := &writer.Change{Draft: func(*ledger.Draft) error { return nil }}
+			c.Writer.Enqueue(ch)
+			dropped = !open(ch)
+		}
+		l.releaseAll("host-2", held)
+		dropped := l.releasing["host-2"]
+		l.releaseAll("host-2", held)
+		if len(dropped) != 3 || slices.Equal(dropped, l.releasing["host-2"]) {
+			t.Errorf("%d changes were dropped and not asked for again", len(dropped))
+		}
+	})
+}
--- a/internal/workers/exits.go
+++ b/internal/workers/exits.go
@@ -20,7 +20,7 @@
 	var out []*writer.Change
 	for _, j := range order {
 		list := byJob[j]
-		out = append(out, &writer.Change{Spare: j.BestEffort(), Draft: func(d *ledger.Draft) error { return draftExits(m.Records(), d, j.ID, list) }})
+		out = append(out, &writer.Change{Spare: j.BestEffort(), Work: j.Spec.Priority, Draft: func(d *ledger.Draft) error { return draftExits(m.Records(), d, j.ID, list) }})
 	}
 	return out
 }
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -35,7 +35,7 @@
 	Drop  bool // a start: given up after Until
 	Until time.Time
 	Late  bool          // of work that has waited for too long: before other starts
-	Work  wire.Priority // what it starts; starts of all priorities take turns
+	Work  wire.Priority // of what it is about; "": it comes with the highest
 	Spare bool          // of work that only takes what others leave
 	Made  func()        // called once it is durable, if given
 
@@ -142,13 +142,14 @@
 	return max(2, min(w.opt.TxnOps, int(w.opt.Changes/2)))
 }
 
+// urgentTurns is how many changes of production's and high priority come before one of less.
+const urgentTurns = 3
+
 // alternate orders a queue so that starts, which are given up after a while, and all else take
-// turns: in a flood of exits no start would ever be in time otherwise. Among the starts those of
-// what is late come first, then those of all priorities take turns. In a flood of one priority,
-// also the highest, the few starts of another would be given up one report after the other.
+// turns: in a flood of exits no start would ever be in time otherwise. Starts of what is late come
+// before other starts.
 func alternate(queue []*Change) []*Change {
-	var others, late []*Change
-	var starts [5][]*Change
+	var others, late, starts []*Change
 	for _, ch := range queue {
 		switch {
 		case !ch.Drop:
@@ -156,11 +157,30 @@
 		case ch.Late:
 			late = append(late, ch)
 		default:
-			n := ch.Work.Rank() + 1 // 0: none is told
-			starts[n] = append(starts[n], ch)
+			starts = append(starts, ch)
 		}
 	}
-	return turns(others, append(late, turns(starts[:]...)...))
+	return turns(byPriority(others), append(late, byPriority(starts)...))
+}
+
+// byPriority has changes of all priorities take turns, the upper two more often, each in its own
+// order. In a flood of one priority, also the highest, the few starts of another would be given up
+// one report after the other; and where a zone is lost, its services can begin elsewhere only once
+// their claims there are released, among those of thousands of other tasks.
+func byPriority(queue []*Change) []*Change {
+	var of [5][]*Change
+	for _, ch := range queue {
+		n := ch.Work.Rank() + 1 // 0: none is told
+		of[n] = append(of[n], ch)
+	}
+	urgent, rest := turns(of[:3]...), turns(of[3:]...)
+	out := make([]*Change, 0, len(queue))
+	for len(urgent) > 0 && len(rest) > 0 {
+		n := min(urgentTurns, len(urgent))
+		out = append(append(out, urgent[:n]...), rest[0])
+		urgent, rest = urgent[n:], rest[1:]
+	}
+	return append(append(out, urgent...), rest...)
 }
 
 // turns takes one of each list at a time, in the lists' order.
--- a/internal/writer/writer_test.go
+++ b/internal/writer/writer_test.go
@@ -124,22 +124,22 @@
 	if got != "051423" {
 		t.Errorf("order %s with a late start", got)
 	}
-	// Starts of all priorities take turns: four gangs that come with 2,000 tasks of services once
-	// waited for two reports, since their starts were given up in the queue behind the services'.
-	queue = nil
-	for i := range 8 {
-		work := wire.Production
-		if i >= 5 {
-			work = []wire.Priority{wire.Normal, wire.High, wire.High}[i-5]
+	// Changes of all priorities take turns, upper ones more often. Gangs that came with 2,000 tasks of
+	// services once waited for two reports, since their starts were given up in the queue behind the
+	// services'; and when a zone was lost, claims of its services were released among thousands of
+	// others, over a minute and more.
+	for _, drop := range []bool{true, false} {
+		queue = nil
+		for i, work := range []wire.Priority{wire.Normal, wire.Normal, wire.Production, wire.Production, wire.Production, wire.Production, wire.Production, wire.High, wire.High} {
+			queue = append(queue, &Change{Drop: drop, Work: work, Until: time.Unix(int64(i), 0)})
+		}
+		got = ""
+		for _, ch := range alternate(queue) {
+			got += fmt.Sprint(ch.Until.Unix())
+		}
+		if got != "273084516" {
+			t.Errorf("order %s of several priorities, starts %v", got, drop)
 		}
-		queue = append(queue, &Change{Drop: true, Work: work, Until: time.Unix(int64(i), 0)})
-	}
-	got = ""
-	for _, ch := range alternate(queue) {
-		got += fmt.Sprint(ch.Until.Unix())
-	}
-	if got != "06517234" {
-		t.Errorf("order %s of starts of several priorities", got)
 	}
 }
 
