Only a whole gang's claims are taken over

The race detector's run of all tests failed once in TestStaleControllersKeepTheRules: a stale controller took claims over of a gang of which a member had been released before. In the service such a gang's stop is written with the release, which refuses it; now the draft itself does, conditioned on all of the gang's records. 17 plays of the test since pass, as do those of waiting gangs and the histories.

--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -537,7 +537,15 @@
 		if err := d.checkSite(w, site); err != nil {
 			return err
 		}
-		d.read(j, 0) // the gang's state and stop, whichever range is written
+		// One that has lost a member is to begin anew; that, and its stop, any range may tell.
+		for n := range j.chunks {
+			d.read(j, n)
+		}
+		whole := w.doneTasks()
+		w.eachClaim(func(c *Claim) { whole += c.Count })
+		if whole != j.Spec.Tasks {
+			return ErrStale
+		}
 		taken := false
 		for n := range j.chunks {
 			moved := false
@@ -701,9 +709,11 @@
 }
 
 func (w *draftJob) allDone() bool {
-	if w.spec.Shape == wire.Service {
-		return false
-	}
+	return w.spec.Shape != wire.Service && w.doneTasks() == w.spec.Tasks
+}
+
+// doneTasks is how many of the job's tasks are done.
+func (w *draftJob) doneTasks() int {
 	total := w.job.Done
 	for n, c := range w.chunks {
 		if old := w.job.chunks[n]; old != nil {
@@ -711,7 +721,7 @@
 		}
 		total += c.doneCount()
 	}
-	return total == w.spec.Tasks
+	return total
 }
 
 // SetMark moves a machine along its way out. by is the version of the leader's
