--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -136,20 +136,17 @@
 	}
 }
 
-// enough is how many changes a batch need not be larger than: what it writes beside its starts, the
-// record of a team with a limit, is then no more than an eighth of it.
-const enough = 8
-
-// leastBatch is how many changes a batch waits for when the budget is short. Many small batches write
-// the same records, jobs' and capped teams', again and again. With few changes to spare queues are
-// long, and a batch gathers much for each record that it writes; to wait for more than is enough
-// only keeps machines idle.
-func (w *Writer) leastBatch() int { return min(enough, w.halfSecond()) }
-
-// halfSecond is the changes of half a second, as a transaction may have them. Spare changes wait for
-// as many more than what they are to leave.
-func (w *Writer) halfSecond() int {
-	return max(2, min(w.opt.TxnOps, int(w.opt.Changes/2)))
+// leastBatch is how many changes a batch waits for when the budget is short: an eighth of a second's
+// share. With few changes to spare queues are long, and so batches gather enough for each record that
+// they write; to wait for more only keeps machines idle.
+func (w *Writer) leastBatch() int { return w.shareOf(8) }
+
+// leastPlenty is how many more changes than what they are to leave spare changes wait for.
+func (w *Writer) leastPlenty() int { return w.shareOf(2) }
+
+// shareOf is a part of the changes of a second, as a transaction may have them.
+func (w *Writer) shareOf(second float64) int {
+	return max(2, min(w.opt.TxnOps, int(w.opt.Changes/second)))
 }
 
 // urgentTurns is how many changes of production's and high priority come before one of less.
@@ -225,7 +222,7 @@
 // plenty reports whether the budget has room for a batch beside what spare changes are
 // to leave, or for all that it may ever have: where transactions are small that is less.
 func (w *Writer) plenty() bool {
-	return w.store.Changes() >= min(w.reserve()+w.halfSecond()+changesForUsers, w.opt.TxnOps)
+	return w.store.Changes() >= min(w.reserve()+w.leastPlenty()+changesForUsers, w.opt.TxnOps)
 }
 
 // waits reports whether a queue holds spare changes only, and the budget little more
