--- a/internal/regress/own.go
+++ b/internal/regress/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"math"
@@ -273,6 +274,7 @@
 	} `json:"rules_broken"`
 	Classes map[string]Served `json:"classes"`
 	Teams   map[string]Served `json:"teams"`
+	Largest map[string]Served `json:"largest"` // jobs of each class
 	Users   struct {
 		Submitted   int `json:"submitted"`
 		Accepted    int `json:"accepted"`
@@ -297,7 +299,15 @@
 }
 
 // ParseReport reads a report of the bench.
-func ParseReport(b []byte) (r Report, err error) { return r, json.Unmarshal(b, &r) }
+func ParseReport(b []byte) (r Report, err error) {
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, err
+	}
+	if len(r.Classes) == 0 {
+		return r, errors.New("it tells of no classes")
+	}
+	return r, nil
+}
 
 // Tails lists the classes of largest jobs of which some began too late.
 func (r *Report) Tails() (out []string) {
@@ -323,7 +333,7 @@
 	if r.Rules.Total > 0 {
 		out = append(out, fmt.Sprintf("%d broken rules", r.Rules.Total))
 	}
-	for kind, list := range map[string]map[string]Served{"class": r.Classes, "team": r.Teams} {
+	for kind, list := range map[string]map[string]Served{"class": r.Classes, "team": r.Teams, "largest of": r.Largest} {
 		for name, s := range list {
 			if 2*s.Started < s.Jobs-s.Cancelled {
 				out = append(out, fmt.Sprintf("%s %s: %d of %d jobs begun", kind, name, s.Started, s.Jobs))
--- a/internal/regress/own_test.go
+++ b/internal/regress/own_test.go
@@ -1,6 +1,8 @@
 package regress
 
 import (
+	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -69,3 +71,55 @@
 		t.Errorf("tails %q", tails)
 	}
 }
+
+// TestMeetingDays: the days on which troubles meet follow from their seed, another seed plays another
+// order of the same troubles, and a site without what they need is refused.
+func TestMeetingDays(t *testing.T) {
+	site := func() Table {
+		return Table{"name": "mill", "nodes": Table{"count": int64(3)}, "workers": Table{"lease_s": 30.0, "cancel_s": 60.0},
+			"capacity": []any{Table{"zone": "a"}, Table{"zone": "b"}},
+			"jobs":     []any{Table{"name": "spin", "kind": "array"}, Table{"name": "serve", "kind": "service"}}}
+	}
+	kinds := func(seed uint64) (all []string, days []OwnDay) {
+		days, err := MeetingDays(site(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range days {
+			faults := tables(d.Day["faults"])
+			if len(faults) < 4 {
+				t.Errorf("%s has %d troubles", d.Name, len(faults))
+			}
+			for _, f := range faults {
+				all = append(all, fmt.Sprint(f["kind"]))
+			}
+			for _, j := range tables(d.Day["jobs"]) {
+				if j["name"] == "serve" {
+					t.Errorf("%s changes a service", d.Name)
+				}
+			}
+		}
+		return all, days
+	}
+	first, one := kinds(1)
+	_, again := kinds(1)
+	_, other := kinds(2)
+	if len(one) != 6 || !reflect.DeepEqual(one, again) || reflect.DeepEqual(one, other) {
+		t.Errorf("%d days; the same again %v, as another seed's %v", len(one), reflect.DeepEqual(one, again), reflect.DeepEqual(one, other))
+	}
+	for _, kind := range []string{"late_writes", "late_reports", "machine_deaf", "node_cut", "state_outage", "node_crash"} {
+		if !slices.Contains(first, kind) {
+			t.Errorf("no day has %s", kind)
+		}
+	}
+	bad := site()
+	delete(bad, "workers")
+	if _, err := MeetingDays(bad, 1); err == nil {
+		t.Error("a site without leases is taken")
+	}
+	for _, text := range []string{"", "{", `{"classes":{}}`} {
+		if _, err := ParseReport([]byte(text)); err == nil {
+			t.Errorf("report %q is taken", text)
+		}
+	}
+}
