--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -459,3 +459,66 @@
 		}
 	}
 }
+
+// TestCompletionsOutliveTheSession: tasks complete in an outage of the state service that lasts longer
+// than a lease, while all controllers end one after the other, so that none may answer for long and
+// the workers begin new sessions. What any controller heard is recorded when the claims go: nothing
+// that completed and was heard runs again. Before, all that was not on record did.
+func TestCompletionsOutliveTheSession(t *testing.T) {
+	for _, shape := range []wire.Shape{wire.Array, wire.Gang} {
+		for _, rolls := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d rolls", shape, rolls), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := meeting(t, 71, 3)
+					h.copies = true // late completions too
+					h.cloud.Most = 8
+					h.cloud.Run = func(id wire.TaskID) time.Duration {
+						return 20*time.Second + time.Duration(id.Job[len(id.Job)-1]-'0')*3*time.Second
+					}
+					ctx, cancel := context.WithCancel(t.Context())
+					h.begin(ctx, 8, 0)
+					h.pass(8 * time.Second)
+					var jobs []wire.JobID
+					for i := range 6 {
+						s := &wire.JobSpec{ID: wire.JobID(fmt.Sprintf("wk-%06d", i)), Shape: shape, Tasks: 2, GPUs: 1}
+						jobs = append(jobs, s.ID)
+						h.submit(ctx, s)
+					}
+					h.pass(16 * time.Second)
+					over := h.outage()
+					h.pass(24 * time.Second)
+					done := h.world.DoneTasks()
+					for range rolls { // in the second only peers can tell what was heard
+						for i := range h.n {
+							h.crash(i)
+							h.pass(300 * time.Millisecond)
+							h.restart(ctx, i)
+							h.pass(5 * time.Second)
+						}
+						h.pass(60 * time.Second)
+					}
+					lapsed := h.world.Lapsed
+					if rolls == 2 { // those that just started know nothing until they have asked
+						h.crash(0)
+						h.crash(1)
+						h.pass(300 * time.Millisecond)
+						h.restart(ctx, 0)
+						h.restart(ctx, 1)
+					}
+					over()
+					h.pass(100 * time.Second)
+					for _, id := range jobs {
+						if st := h.ask(ctx, id); st != wire.Done {
+							t.Errorf("%s is %s", id, st)
+						}
+					}
+					t.Logf("%d tasks had completed before controllers ended, %d were lost with a lease, %d ran again", done, lapsed, h.world.Again)
+					if done == 0 || lapsed == 0 || h.world.Again > 0 {
+						t.Errorf("%d completed in the outage, %d lost with a lease, %d ran again", done, lapsed, h.world.Again)
+					}
+					h.verdict(cancel)
+				})
+			})
+		}
+	}
+}
--- a/internal/regress/meetings.go
+++ b/internal/regress/meetings.go
@@ -105,9 +105,75 @@
 		m.fault(m.between(185, 230), "node_crash", Table{"count": controllers, "busiest": true}),
 		m.fault(m.between(230, 250), "late_writes", Table{"share": 0.2, "for_s": 40.0}))
 	m.days[len(m.days)-1].Day["vary"] = Table{"state_slow": 0.1, "state_slow_times": 60.0, "list_lag": 0.9}
+	m.requestDays(all, arrays, controllers, lease, cancel)
 	return m.days, nil
 }
 
+// requestDays are those on which users' requests meet the other troubles.
+func (m *meetings) requestDays(all, arrays []Table, controllers int64, lease, cancel float64) {
+	leader := Table{"count": int64(1), "busiest": true}
+	everybody := Table{"count": controllers, "busiest": true}
+	looks := func() []Table {
+		return []Table{m.fault(60, "close_looks", Table{"for_s": 300.0}), m.fault(60, "odd_requests", Table{"for_s": 300.0})}
+	}
+	calledOff := func(at float64, count int64, hang float64) Table {
+		t := m.fault(at, "cancel_now", Table{"count": count})
+		if hang > 0 {
+			t["hang_s"] = hang
+		}
+		return t
+	}
+
+	// Users look closely and call off while answers are lost, reports are kept for the next leader,
+	// controllers are rolled into an outage that lasts longer than a lease, and all end after it.
+	refused, out := m.between(125, 135), m.between(210, 220)
+	m.day("looks", []Table{{"name": all[len(all)-1]["name"], "cancelled": 0.3}}, append(looks(),
+		m.fault(m.between(65, 75), "late_writes", Table{"share": 0.2, "for_s": 60.0, "at_once": true}),
+		m.fault(80, "cancel_at_end", Table{"share": 0.4, "for_s": 200.0}),
+		m.fault(m.between(85, 95), "late_reports", Table{"share": 0.2, "for_s": 100.0, "for_next": true}),
+		m.fault(95, "machine_mute", Table{"share": 0.15, "for_s": m.between(lease, lease+20)}),
+		calledOff(100, 40, 60), m.fault(m.between(100.2, 102), "node_crash", leader),
+		m.fault(refused, "node_cut", Table{"count": int64(1), "busiest": true, "from_state": true, "from_peers": true, "for_s": 40.0, "mode": "refuse"}),
+		calledOff(refused+3, 30, 0),
+		m.fault(150, "machine_deaf", Table{"share": 0.1, "for_s": lease + 9}),
+		m.fault(180, "late_writes", Table{"share": 0.3, "for_s": 40.0}),
+		m.fault(190, "late_commands", Table{"share": 0.5, "for_s": 60.0}),
+		m.fault(out-20, "node_roll", Table{"every_s": 5.0}), calledOff(out-15, 40, 50),
+		m.fault(out, "state_outage", Table{"for_s": cancel + 5}),
+		m.fault(out+cancel+8, "node_crash", everybody), calledOff(out+cancel+9, 30, 0))...)
+
+	// No outage: machines die and are taken, new ones are up at once, and the leader ends again and again.
+	var ends []Table
+	for i := range 9 {
+		ends = append(ends, m.fault(m.between(100+15*float64(i), 112+15*float64(i)), "node_crash", leader))
+	}
+	m.day("leaders", nil, append(ends,
+		m.fault(m.between(95, 105), "machine_die", Table{"count": int64(120)}),
+		m.fault(m.between(170, 190), "spot_taken", Table{"share": 0.5, "notice_s": 0.0, "over_s": 20.0}),
+		m.fault(m.between(110, 130), "late_writes", Table{"share": 0.3, "for_s": 80.0}))...)
+	m.days[len(m.days)-1].Day["vary"] = Table{"boot": 0.3, "boot_slow": 0.0, "speed": 0.1}
+
+	// Machines that reach nobody, held up commands and reports while work changes hands.
+	mute := m.between(95, 110)
+	m.day("mute", arrays, append(looks(),
+		m.fault(mute, "machine_mute", Table{"zone": m.zones[m.rng.IntN(len(m.zones))], "for_s": m.between(15, lease+15)}),
+		m.fault(mute+m.between(1, 20), "node_crash", leader),
+		m.fault(mute, "late_commands", Table{"share": 0.5, "for_s": 120.0}),
+		m.fault(m.between(150, 170), "late_reports", Table{"share": 0.3, "for_s": 80.0, "for_next": true}),
+		m.fault(m.between(190, 210), "machine_mute", Table{"count": int64(150), "for_s": m.between(lease-5, 2*lease)}),
+		m.fault(m.between(200, 225), "node_crash", everybody),
+		calledOff(m.between(205, 225), 40, lease+10))...)
+
+	// Called off at the moment at which the leader alone is refused, and out for all a second later.
+	first, second := m.between(95, 105), m.between(230, 245)
+	m.day("moment", all, append(looks(),
+		m.fault(first, "node_cut", Table{"count": int64(1), "busiest": true, "from_state": true, "for_s": m.between(8, 25), "mode": "refuse"}),
+		calledOff(first, 40, 0), m.fault(first+1, "state_outage", Table{"for_s": cancel + m.between(3, 12)}),
+		m.fault(second, "node_cut", Table{"count": int64(1), "busiest": true, "from_state": true, "for_s": m.between(8, 25), "mode": "refuse"}),
+		calledOff(second, 40, 30), m.fault(second+1, "state_outage", Table{"for_s": cancel + m.between(3, 12)}),
+		m.fault(second+m.between(10, 40), "node_crash", leader))...)
+}
+
 type meetings struct {
 	rng   *rand.Rand
 	seed  uint64
--- a/internal/regress/own_test.go
+++ b/internal/regress/own_test.go
@@ -104,10 +104,11 @@
 	first, one := kinds(1)
 	_, again := kinds(1)
 	_, other := kinds(2)
-	if len(one) != 6 || !reflect.DeepEqual(one, again) || reflect.DeepEqual(one, other) {
+	if len(one) != 10 || !reflect.DeepEqual(one, again) || reflect.DeepEqual(one, other) {
 		t.Errorf("%d days; the same again %v, as another seed's %v", len(one), reflect.DeepEqual(one, again), reflect.DeepEqual(one, other))
 	}
-	for _, kind := range []string{"late_writes", "late_reports", "machine_deaf", "node_cut", "state_outage", "node_crash"} {
+	for _, kind := range []string{"late_writes", "late_reports", "machine_deaf", "node_cut", "state_outage", "node_crash",
+		"machine_mute", "cancel_now", "cancel_at_end", "close_looks", "odd_requests", "late_commands"} {
 		if !slices.Contains(first, kind) {
 			t.Errorf("no day has %s", kind)
 		}
