--- a/cmd/maddermill/cwl.go
+++ b/cmd/maddermill/cwl.go
@@ -158,7 +158,6 @@
 }
 
 func readInputs(p *cwl.Process, args []string) (map[string]any, error) {
-	in := map[string]any{}
 	name, b := "inputs", []byte("{}")
 	if len(args) > 0 {
 		var err error
--- a/internal/controller/meeting_table_test.go
+++ b/internal/controller/meeting_table_test.go
@@ -186,6 +186,12 @@
 			events:   []meetingEvent{during(25*time.Second, 50*time.Second, func(m *meetingRun) func() { return m.cutZone("b", 1) }), ending(40*time.Second, theLeader, back)},
 			troubled: 80 * time.Second, settled: 6 * time.Minute,
 		},
+		{
+			name: "machines hear nobody while the leader changes", machines: 8, most: 8, jobs: 14, every: time.Second,
+			world: runsFor(15 * time.Second), spec: mixed, cancel: aQuarter(between(15*time.Second, 50*time.Second)),
+			events:   []meetingEvent{during(20*time.Second, 36*time.Second, someMachines(2, deaf)), ending(25*time.Second, theLeader, back), endingAll(50*time.Second, back)},
+			troubled: 65 * time.Second, settled: 6 * time.Minute,
+		},
 		{
 			name: "machines reach no controller while the leader changes", machines: 8, most: 8, jobs: 14, every: time.Second,
 			world: runsFor(15 * time.Second), spec: mixed, cancel: aQuarter(between(15*time.Second, 50*time.Second)),
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -522,3 +522,48 @@
 		}
 	}
 }
+
+// TestSlowAcceptance: the answer to a submission's transaction is slow; meanwhile the user repeats the
+// submission at another controller and cancels there. The first controller tells what the job is by
+// the time that it answers; before, it said queued.
+func TestSlowAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := meeting(t, 81, 3)
+		spec := &wire.JobSpec{Tasks: 1}
+		fill(spec, 1)
+		committed := make(chan struct{})
+		var once sync.Once
+		h.at = func(i int, step string) {
+			if i == 0 && step == " answered" && h.core(0) != nil {
+				held := false
+				once.Do(func() { held = true })
+				if held {
+					close(committed)
+					time.Sleep(3 * time.Second)
+				}
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		h.begin(ctx, 2, 0)
+		h.pass(10 * time.Second)
+		h.world.Upload(spec)
+		first := make(chan wire.JobStatus, 1)
+		h.group.Go(func() {
+			st, _, err := h.core(0).Users.Submit(ctx, spec)
+			if err != nil {
+				t.Error(err)
+			}
+			first <- st
+		})
+		<-committed
+		for _, r := range []request{submission(spec), cancellation(spec.ID)} {
+			if _, err := r(ctx, h.core(1)); err != nil {
+				t.Error(err)
+			}
+		}
+		if st := <-first; st.Status != wire.Cancelled {
+			t.Errorf("told %q after it was cancelled", st.Status)
+		}
+		h.verdict(cancel)
+	})
+}
--- a/internal/desk/users.go
+++ b/internal/desk/users.go
@@ -102,7 +102,7 @@
 		case err == nil:
 			c.log.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
 			c.stats.Add("jobs_accepted_total", 1)
-			return wire.JobStatus{ID: spec.ID, Status: wire.Queued}, true, nil
+			return c.accepted(spec.ID), true, nil
 		case errors.Is(err, ledger.ErrTooLarge):
 			return st, false, errors.Join(ErrNeverRuns, err)
 		case !errors.Is(err, ledger.ErrStale):
@@ -113,6 +113,20 @@
 	return st, false, err
 }
 
+// accepted tells of a job that this controller has just made durable, as the records are now: where
+// the answer of the state service was slow, its user may have been told more elsewhere.
+func (c *Users) accepted(id wire.JobID) wire.JobStatus {
+	c.Mirror.Lock()
+	defer c.Mirror.Unlock()
+	if over, ok := c.led().Over(id); ok {
+		return over.Status(id)
+	}
+	if j := c.led().Job(id); j != nil {
+		return wire.JobStatus{ID: id, Status: j.Status()}
+	}
+	return wire.JobStatus{ID: id, Status: wire.Queued}
+}
+
 // errNotAdmitted: the policy refuses a job for good.
 var errNotAdmitted = errors.New("not admitted by the policy")
 
--- a/internal/evidence/worlds_test.go
+++ b/internal/evidence/worlds_test.go
@@ -24,12 +24,10 @@
 	rng      *rand.Rand
 	machines int
 	rate     []float64 // with which a machine fails its tasks
-	slow     []float64 // how much longer its tasks take
 	badJobs  float64   // share of jobs that fail everywhere
 	badTask  float64   // share of arrays with one task that does
 	images   []float64 // rate with which each fails
 	accident float64
-	offset   float64 // spread of how wrong estimates are, of the logarithm
 	blocks   int
 	badBlock []float64
 	now      time.Time
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -186,8 +186,8 @@
 				}
 				read(l, over...)
 				if len(over) > 0 {
-					one := d // what is moved shares no transaction with starts and exits
-					if one = l.NewDraft(); rng.IntN(2) == 0 && one.Trim(over[0]) == nil {
+					one := l.NewDraft() // what is moved shares no transaction with starts and exits
+					if rng.IntN(2) == 0 && one.Trim(over[0]) == nil {
 						d = one
 					} else if page := l.Page(over[0]); page == l.Page(over[len(over)-1]) {
 						if _, err := one.Archive(over[:1+rng.IntN(len(over))]); err == nil {
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -117,9 +117,8 @@
 	run     *cwl.Run
 	out     map[string]*step
 	order   []string // of out
-	left    []cwl.Task
-	cut     bool // the last pass ended early: more is under way than order tells
-	passive bool // only looked at here: nothing is submitted, cancelled or ended
+	cut     bool     // the last pass ended early: more is under way than order tells
+	passive bool     // only looked at here: nothing is submitted, cancelled or ended
 	// resumed is how often the workflow was resumed: so many failures of a step are gone over.
 	resumed int
 }
