--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -102,40 +102,69 @@
 	c.Mirror.Lock()
 	defer c.Mirror.Unlock()
 	c.noteCompletions(r, began)
-	if !c.Mirror.Loaded() || c.Mirror.Token() == 0 {
+	if a, ok := c.entitled(r, began); !ok {
+		return a
+	}
+	w := c.Roster.Worker(r.Machine)
+	if w == nil {
+		w = c.Roster.Join(r, began)
+		c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
+	}
+	if a, ok := c.sendToPeerInTouch(w, began); ok {
+		return a
+	}
+	hold, ok := c.holdToken(ctx, w, r)
+	if !ok || w.Stale(r) {
 		return goElsewhere
 	}
+	findings := c.take(w, r, hold, began)
+	if a, ok := c.passOn(w, &findings, began); ok {
+		return a
+	}
+	if !c.record(ctx, w, r, &findings, began) {
+		return goElsewhere // a newer report has been taken in meanwhile
+	}
+	return c.answer(w, r, began)
+}
+
+// entitled reports whether this controller may act on a report at all, and else what it answers.
+func (c *Workers) entitled(r *wire.Report, began time.Time) (ReportAnswer, bool) {
+	if !c.Mirror.Loaded() || c.Mirror.Token() == 0 {
+		return goElsewhere, false
+	}
 	if c.Members.JustBack(began) {
 		// The worker has given this report up long ago and reports elsewhere. To
 		// place there and to wait for it would only take tasks from others.
-		return goElsewhere
+		return goElsewhere, false
 	}
 	if began.Sub(c.reliedOn(time.Now())) > c.set.ReportGrace() {
 		// A cancellation may have been told meanwhile, and every answer renews
 		// the lease of tasks that must then be gone.
-		return c.redirect(r.Machine, began)
+		return c.redirect(r.Machine, began), false
 	}
 	if c.led().Mark(r.Machine) == ledger.Gone {
-		return goElsewhere // a report from before the machine's end
-	}
-	w := c.Roster.Worker(r.Machine)
-	if w == nil {
-		w = c.Roster.Join(r, began)
-		c.log.Info("machine heard", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
-	}
-	if began.Sub(c.Mirror.Contact()) > settings.StartContact && began.Sub(w.Sent) > redirectEvery {
-		// Cut off from the state service, nothing can start or end here. A peer
-		// in touch does better, if the worker reaches it; if not, it comes back
-		// and is answered for as long as that is safe.
-		if a := c.redirect(r.Machine, began); a.Status == 421 {
-			w.Sent = began
-			return a
-		}
-	}
-	hold, ok := c.holdToken(ctx, w, r)
-	if !ok || w.Stale(r) {
-		return goElsewhere
+		return goElsewhere, false // a report from before the machine's end
 	}
+	return ReportAnswer{}, true
+}
+
+// sendToPeerInTouch sends a worker to a peer while this controller alone is cut off from the state
+// service: nothing can start or end here. A peer in touch does better, if the worker reaches it; if
+// not, it comes back and is answered for as long as that is safe.
+func (c *Workers) sendToPeerInTouch(w *workers.Worker, began time.Time) (ReportAnswer, bool) {
+	if began.Sub(c.Mirror.Contact()) <= settings.StartContact || began.Sub(w.Sent) <= redirectEvery {
+		return ReportAnswer{}, false
+	}
+	a := c.redirect(w.ID, began)
+	if a.Status != 421 {
+		return ReportAnswer{}, false
+	}
+	w.Sent = began
+	return a, true
+}
+
+// take compares a report with the records and notes what it tells.
+func (c *Workers) take(w *workers.Worker, r *wire.Report, hold wire.Token, began time.Time) workers.Findings {
 	if w.Session != 0 && r.Session > w.Session {
 		c.log.Info("machine began a new session", "machine", r.Machine, "session", r.Session)
 	}
@@ -153,38 +182,18 @@
 		f.Exits = slices.DeleteFunc(f.Exits, func(e workers.Exit) bool { return e.Held.Session < r.Session && e.Cause == "" })
 	}
 	c.learn(w, &f, began)
-	if a, ok := c.passOn(w, &f, began); ok {
-		return a
-	}
-	var waits []*writer.Change
-	for _, ch := range workers.ExitChanges(c.Mirror, f.Exits) {
-		c.Writer.Enqueue(ch)
-		waits = append(waits, ch)
-	}
-	for _, h := range f.GaveUp {
-		ch := c.takeOver(w, h, began.Add(c.reportWait()))
-		c.Writer.Enqueue(ch)
-		waits = append(waits, ch)
-	}
-	if !w.Recall.IsZero() {
-		for _, ch := range c.gangStops(r.Machine) {
-			c.Writer.Enqueue(ch)
-			waits = append(waits, ch)
-		}
-	}
+	return f
+}
+
+// record has what a report proves and what the machine is given made durable, and waits for it for
+// as long as the report may wait. It tells false if a newer report has been taken in meanwhile.
+func (c *Workers) record(ctx context.Context, w *workers.Worker, r *wire.Report, f *workers.Findings, began time.Time) bool {
+	waits := c.enqueueFindings(w, f, began)
 	current := func() bool { return w.Session == r.Session && w.Tally == r.Tally }
 	now := began
-	for tries := 0; tries < 3 && current(); tries++ {
-		var starts []place.Start
-		anew := true
-		if c.Schedule.Usable(w, now) && now.Sub(c.Mirror.Contact()) < settings.StartContact {
-			v := c.Schedule.View(now)
-			m := v.Put(c.Schedule.MachineOf(w, now))
-			starts = place.OnRoom(v, m)
-			anew = !v.WantedWhole(m)
-		}
-		made := c.startChanges(w, starts, began.Add(c.reportWait()))
-		for _, ch := range made {
+	for tries := 0; tries < mostTries && current(); tries++ {
+		starts, anew := c.startsFor(w, now)
+		for _, ch := range c.startChanges(w, starts, began.Add(c.reportWait())) {
 			c.Writer.Enqueue(ch)
 			waits = append(waits, ch)
 		}
@@ -199,23 +208,63 @@
 			break
 		}
 	}
-	if !current() {
-		return goElsewhere // a newer report has been taken in meanwhile
+	return current()
+}
+
+// mostTries is how often what a machine is given is decided for one report.
+const mostTries = 3
+
+// enqueueFindings asks for the changes that follow from what a report proves.
+func (c *Workers) enqueueFindings(w *workers.Worker, f *workers.Findings, began time.Time) []*writer.Change {
+	changes := workers.ExitChanges(c.Mirror, f.Exits)
+	for _, h := range f.GaveUp {
+		changes = append(changes, c.takeOver(w, h, began.Add(c.reportWait())))
+	}
+	if !w.Recall.IsZero() {
+		changes = append(changes, c.gangStops(w.ID)...)
+	}
+	for _, ch := range changes {
+		c.Writer.Enqueue(ch)
 	}
-	cmds := w.Commands(r, c.led().HeldBy(r.Machine), c.led().Total(w.Type), now.Sub(c.Mirror.Contact()) < settings.StartContact && c.led().Mark(r.Machine) != ledger.Leaving)
-	for _, cmd := range cmds {
-		if cmd.Op != wire.OpForget {
-			c.log.Info("command", "op", cmd.Op, "job", cmd.Task.Job, "task", cmd.Task.Index, "attempt", cmd.Attempt, "machine", r.Machine, "token", w.Hold)
+	return changes
+}
+
+// startsFor is what a machine is given now, and whether room that becomes free may be given away
+// at once: not where gangs of several tasks want the machine.
+func (c *Workers) startsFor(w *workers.Worker, now time.Time) (starts []place.Start, anew bool) {
+	if !c.Schedule.Usable(w, now) || now.Sub(c.Mirror.Contact()) >= settings.StartContact {
+		return nil, true
+	}
+	v := c.Schedule.View(now)
+	m := v.Put(c.Schedule.MachineOf(w, now))
+	starts = place.OnRoom(v, m)
+	return starts, !v.WantedWhole(m)
+}
+
+// answer is what a worker is told to do, by the records as they are now.
+func (c *Workers) answer(w *workers.Worker, r *wire.Report, began time.Time) ReportAnswer {
+	now := time.Now()
+	mayStart := now.Sub(c.Mirror.Contact()) < settings.StartContact && c.led().Mark(r.Machine) != ledger.Leaving
+	commands := w.Commands(r, c.led().HeldBy(r.Machine), c.led().Total(w.Type), mayStart)
+	for _, command := range commands {
+		if command.Op != wire.OpForget {
+			c.log.Info("command", "op", command.Op, "job", command.Task.Job, "task", command.Task.Index, "attempt", command.Attempt, "machine", r.Machine, "token", w.Hold)
 		}
-		if im := c.Roster.Images(c.led(), w); cmd.Op == wire.OpStart {
-			if j := c.led().Job(cmd.Task.Job); j != nil && !im.Has(j.Spec.Image) {
-				im.Fetching(j.Spec.Image, now)
-			}
+		if command.Op == wire.OpStart {
+			c.noteFetch(w, command.Task.Job, now)
 		}
 	}
 	w.Answered(began)
 	c.stats.Took("report_seconds", now.Sub(began))
-	return ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: w.Hold, Commands: cmds}}
+	return ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: w.Hold, Commands: commands}}
+}
+
+// noteFetch notes that a machine fetches a job's image, unless it is believed to have it.
+func (c *Workers) noteFetch(w *workers.Worker, id wire.JobID, now time.Time) {
+	images := c.Roster.Images(c.led(), w)
+	if j := c.led().Job(id); j != nil && !images.Has(j.Spec.Image) {
+		images.Fetching(j.Spec.Image, now)
+	}
 }
 
 // noteCompletions keeps what a report shows as completed, however old it is and whether or not it
