--- /dev/null
+++ b/internal/lead/returns.go
@@ -0,0 +1,81 @@
+package lead
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"maddermill/internal/cloud"
+	"maddermill/internal/ledger"
+	"maddermill/internal/workers"
+	"maddermill/internal/writer"
+	"maddermill/wire"
+)
+
+// finishReturns moves marked machines on: a leaving one is returned; what was claimed
+// on one whose return the cloud has confirmed is released. That it is gone goes on
+// record when there are changes to Spare: a new leader only returns it once more.
+func (l *leader) finishReturns(ctx context.Context) error {
+	c := l.c
+	var leaving []wire.MachineID
+	spare := c.Writer.Relaxed()
+	c.Mirror.Lock()
+	c.led().Outgoing(func(id wire.MachineID) {
+		switch {
+		case !l.returned[id]:
+			leaving = append(leaving, id)
+		case spare:
+			l.setMark(id, ledger.Gone, "returned")
+		}
+	})
+	c.Mirror.Unlock()
+	slices.Sort(leaving)
+	for batch := range slices.Chunk(leaving, cloud.MaxReturn) {
+		if err := l.cloud.Return(ctx, batch); err != nil {
+			return err
+		}
+		for _, id := range batch {
+			l.returned[id] = true
+		}
+	}
+	c.Mirror.Lock()
+	defer c.Mirror.Unlock()
+	maps.DeleteFunc(l.releasing, func(_ wire.MachineID, changes []*writer.Change) bool { return !slices.ContainsFunc(changes, open) })
+	gone := func(id wire.MachineID) bool { return l.returned[id] || c.led().Mark(id) == ledger.Gone }
+	c.led().Holders(func(id wire.MachineID, held []ledger.Held) {
+		if gone(id) {
+			l.releaseAll(id, held)
+		}
+	})
+	for id := range l.units {
+		if gone(id) {
+			delete(l.units, id)
+			delete(l.marking, markKey{id, ledger.Leaving})
+		}
+	}
+	return nil
+}
+
+// open reports whether a change that was asked for is neither made nor dropped yet.
+func open(ch *writer.Change) bool { return len(ch.Done()) == 0 }
+
+// releaseAll releases the claims on a machine that the cloud has confirmed to be gone. What is
+// still on its way is not asked for again: when a zone is lost, the releases of its hundreds of
+// machines take longer than any time that could be waited for, and asked for again and again
+// they once filled the queue, so that what was lost began nowhere else for minutes.
+func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
+	if slices.ContainsFunc(l.releasing[id], open) {
+		return
+	}
+	var exits []workers.Exit
+	for _, h := range held {
+		for i := range h.Count {
+			task := h.First + wire.TaskIndex(i)
+			exits = append(exits, workers.Exit{Held: h, Task: task, Cause: l.c.Completed.Cause(&h, task)})
+		}
+	}
+	l.releasing[id] = workers.ExitChanges(l.c.Mirror, exits)
+	for _, ch := range l.releasing[id] {
+		l.c.Writer.Enqueue(ch)
+	}
+}
