What late gangs are kept survives a change of leaders; an ended leader resigns when back

Cause: room that the leader gathered was given away the moment that it ended, and a restarted leader's record kept everybody from leading until its lease ran out, up to 6 s. Change: what was kept stands for 12 s or until the successor chooses; a controller that finds the record of its earlier life takes it away, conditioned, and stands back.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -84,10 +84,14 @@
 	for ctx.Err() == nil {
 		c.Mirror.Lock()
 		ready := c.Mirror.Loaded() && c.Mirror.Token() != 0
-		_, version := c.led().Leader()
+		record, version := c.led().Leader()
 		c.Mirror.Unlock()
-		if !ready || version != 0 {
-			clock.Sleep(ctx, 500*time.Millisecond)
+		switch {
+		case ready && version != 0 && record.Member == c.set.Member:
+			c.resign(ctx, version)
+			continue
+		case !ready || version != 0:
+			clock.Sleep(ctx, campaignEvery)
 			continue
 		}
 		if err := c.term(ctx, cl); err != nil && ctx.Err() == nil {
@@ -98,6 +102,23 @@
 	return ctx.Err()
 }
 
+// campaignEvery is how often it is looked whether somebody leads.
+const campaignEvery = 500 * time.Millisecond
+
+// standBack is how long a controller that has resigned leaves the lead to others, who know where the
+// machines report.
+const standBack = 4 * campaignEvery
+
+// resign takes away the leader's record of a term of this controller that is over, as one of its
+// earlier life is: nobody would else lead until its lease has run out. What that term still sends is
+// conditioned on the record, and conflicts.
+func (c *Lead) resign(ctx context.Context, version wire.Revision) {
+	_, err := c.Writer.Commit(ctx, wire.Txn{If: []wire.Condition{{Key: ledger.LeaderKey, Version: version}},
+		Then: []wire.Change{{Delete: ledger.LeaderKey}}})
+	c.log.Info("resigned the lead of an earlier term", "version", version, "err", err)
+	clock.Sleep(ctx, standBack)
+}
+
 // term is one time as the leader, from the lease's grant to its end.
 func (c *Lead) term(ctx context.Context, cl Cloud) error {
 	asked := time.Now()
--- a/internal/schedule/gather.go
+++ b/internal/schedule/gather.go
@@ -15,8 +15,14 @@
 // again at once, and what it can't tell any more after a few seconds. Where that does not
 // arrive, gangs take their chance as others do.
 
-// keepFor is how long room is kept without being told again.
-const keepFor = 5 * time.Second
+const (
+	// keepFor is how long room is kept without being told again by the leader.
+	keepFor = 5 * time.Second
+	// keepAcross is how long it is kept from when the leader that told it told it last, while nobody
+	// leads or a successor has yet to choose: a lease, and what the successor takes to begin. What a
+	// gang was kept would else be given away task by task each time that the leader changes.
+	keepAcross = 12 * time.Second
+)
 
 // keeping is the room kept for late gangs, as told by a controller at a time.
 type keeping struct {
@@ -36,19 +42,34 @@
 	s.gathered(v, now)
 }
 
-// Keeping lists, for peers, the room that this controller keeps for late gangs as the leader.
+// stands reports whether what was told is still kept: by the leader that told it, or since the one
+// that comes after it has told nothing yet.
+func (k *keeping) stands(leader wire.MemberID, now time.Time) bool {
+	if leader == k.from {
+		return now.Sub(k.at) <= keepFor
+	}
+	return now.Sub(k.at) <= keepAcross
+}
+
+// Keeping lists, for peers, the room that this controller keeps for late gangs as the leader: what
+// its predecessor kept until it has chosen itself.
 func (s *Scheduler) Keeping(now time.Time) []mesh.Emptying {
-	if s.keeping.from != s.set.Member || now.Sub(s.keeping.at) > keepFor {
+	leads, _ := s.led().Leader()
+	if leads.Member != s.set.Member || !s.keeping.stands(leads.Member, now) {
 		return nil
 	}
 	return s.keeping.list
 }
 
-// HearKeeping takes over what the fleet's leader keeps. asked is when it was asked for.
+// HearKeeping takes over what the fleet's leader keeps. asked is when it was asked for. A leader that
+// begins and knows of nothing that is kept ends nothing.
 func (s *Scheduler) HearKeeping(from wire.MemberID, list []mesh.Emptying, asked, now time.Time) {
 	if leads, _ := s.led().Leader(); leads.Member != from || asked.Before(s.keeping.at) && s.keeping.from == from {
 		return
 	}
+	if s.keeping.from != from && len(list) == 0 {
+		return
+	}
 	s.keeping = keeping{from, list, asked}
 	if s.seen != nil {
 		s.gathered(s.seen, now)
@@ -58,7 +79,7 @@
 // gathered has a picture keep what the leader does.
 func (s *Scheduler) gathered(v *place.View, now time.Time) {
 	v.Gathered = nil
-	if leads, _ := s.led().Leader(); leads.Member != s.keeping.from || now.Sub(s.keeping.at) > keepFor {
+	if leads, _ := s.led().Leader(); !s.keeping.stands(leads.Member, now) {
 		return
 	}
 	for _, k := range s.keeping.list {
