Completions heard in an outage are recorded as soon as it is over

Cause: with all controllers ended 3 s after an outage most completions were kept in memory only, since the workers in new sessions report seconds later. Change: a recorder writes what was noted out of touch, before all other changes, each job by one controller first. Without it TestCompletionsOutliveTheSession runs tasks again.

--- a/internal/completion/exchange.go
+++ b/internal/completion/exchange.go
@@ -59,15 +59,15 @@
 	answer.Completed, answer.CompletedTo = x.log.Since(number, mostTold, now)
 }
 
-// Hear keeps what a peer told of, as far as it may still be lacking in the records.
-func (x *Exchange) Hear(s *mesh.Status, lacking func(mesh.Completion) bool, now time.Time) {
+// Hear keeps what a peer told of, as far as it may still be lacking in the records; apart as in Note.
+func (x *Exchange) Hear(s *mesh.Status, lacking func(mesh.Completion) bool, apart bool, now time.Time) {
 	if s.CompletedBoot == 0 {
 		return // an earlier version, or a published status
 	}
 	x.told[s.Member] = cursor{s.CompletedBoot, s.CompletedTo, len(s.Completed) < mostTold}
 	for _, c := range s.Completed {
 		if lacking(c) {
-			x.log.Note(c, now)
+			x.log.Note(c, apart, now)
 		}
 	}
 }
--- a/internal/completion/log.go
+++ b/internal/completion/log.go
@@ -30,6 +30,7 @@
 	mesh.Completion
 	number uint64
 	noted  time.Time
+	apart  bool // noted while out of touch with the state service
 }
 
 // Log is the completions that one controller knows of.
@@ -52,8 +53,9 @@
 // Lost counts the completions that were dropped since there was no room for them.
 func (l *Log) Lost() int { return l.lost }
 
-// Note keeps a completion. Where the log is full the oldest one goes.
-func (l *Log) Note(c mesh.Completion, now time.Time) {
+// Note keeps a completion; apart: while this controller is out of touch with the state service.
+// Where the log is full the oldest one goes.
+func (l *Log) Note(c mesh.Completion, apart bool, now time.Time) {
 	if _, ok := l.known[c]; ok {
 		return
 	}
@@ -64,7 +66,7 @@
 	}
 	l.last++
 	l.known[c] = struct{}{}
-	l.order = append(l.order, entry{c, l.last, now})
+	l.order = append(l.order, entry{c, l.last, now, apart})
 }
 
 // Cause is how a claim's task ended that no worker can show any more: done if that was reported,
@@ -103,6 +105,15 @@
 	return out, number
 }
 
+// Apart gives f the completions that were noted while out of touch, in their order.
+func (l *Log) Apart(f func(mesh.Completion)) {
+	for _, e := range l.order {
+		if e.apart {
+			f(e.Completion)
+		}
+	}
+}
+
 // Prune drops what is on record, given records that hold all that was committed before contact: a
 // completion whose claim they lack.
 func (l *Log) Prune(records *ledger.Ledger, contact time.Time) {
@@ -117,7 +128,16 @@
 
 // Claimed reports whether the records hold the claim that a completion is of.
 func Claimed(records *ledger.Ledger, c mesh.Completion) bool {
-	return slices.ContainsFunc(records.HeldBy(c.Machine), func(h ledger.Held) bool {
-		return h.Job.ID == c.Job && h.Attempt == c.Attempt && h.Session == c.Session && h.Covers(c.Task)
-	})
+	_, ok := ClaimOf(records, c)
+	return ok
+}
+
+// ClaimOf is the claim that a completion is of, if the records hold it.
+func ClaimOf(records *ledger.Ledger, c mesh.Completion) (ledger.Held, bool) {
+	for _, h := range records.HeldBy(c.Machine) {
+		if h.Job.ID == c.Job && h.Attempt == c.Attempt && h.Session == c.Session && h.Covers(c.Task) {
+			return h, true
+		}
+	}
+	return ledger.Held{}, false
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -3,13 +3,11 @@
 package controller
 
 import (
-	"context"
 	"crypto/ed25519"
 	"log/slog"
 	"math"
 	"time"
 
-	"maddermill/internal/clock"
 	"maddermill/internal/completion"
 	"maddermill/internal/desk"
 	"maddermill/internal/duty"
@@ -56,6 +54,7 @@
 	roster   *workers.Roster
 	done     *completion.Log
 	told     *completion.Exchange
+	recorder *workers.Recorder
 	schedule *schedule.Scheduler
 	lead     *lead.Lead
 	past     *past.Keeper
@@ -77,6 +76,7 @@
 	c.done = completion.New(completion.Most(set.MemoryBytes() / completionShare))
 	c.told = completion.NewExchange(c.done, c.boot, membersOptions(set).Others)
 	c.roster = workers.NewRoster(c.members, c.done)
+	c.recorder = workers.NewRecorder(c.done, c.mirror, c.writer, Limits(set), c.Stats, log)
 	c.policies = policies.New(host{c}, store, set.Member, c.Stats, log)
 	c.past = past.New(host{c}, store, pastOptions(set), c.Stats, log)
 	c.Places = places.New(set, c.mirror, c.members, c.roster, c.book, func() { c.schedule.Renew() }, c.Stats, log)
@@ -124,22 +124,6 @@
 // completionShare is the part of a controller's memory that completions may take: one in so many.
 const completionShare = 50
 
-// pruneEvery is how often completions are dropped that are on record.
-const pruneEvery = time.Second
-
-// pruneCompletions drops completions that are on record, until ctx ends.
-func (c *Core) pruneCompletions(ctx context.Context) error {
-	for ctx.Err() == nil {
-		clock.Sleep(ctx, pruneEvery)
-		c.mirror.Read(func(l *ledger.Ledger) {
-			if c.mirror.Loaded() {
-				c.done.Prune(l, c.mirror.Contact())
-			}
-		})
-	}
-	return ctx.Err()
-}
-
 // gauges registers what is read under the mirror's lock when metrics are asked for.
 func (c *Core) gauges() {
 	gauge := func(name string, read func(l *ledger.Ledger) float64) {
@@ -331,7 +315,8 @@
 func (c *Core) heardPeer(a mesh.Answer) {
 	c.mirror.Read(func(l *ledger.Ledger) {
 		l.Doom(listed(&a.Status))
-		c.told.Hear(&a.Status, c.Workers.Lacking, time.Now())
+		now := time.Now()
+		c.told.Hear(&a.Status, c.Workers.Lacking, !c.mirror.InTouch(now, settings.StartContact), now)
 		c.members.Heard(a.Status, a.Asked) // it may vouch from now on, for this ledger
 		c.book.Hear(l, a.Status.Suspects, a.Asked)
 		c.book.HearFailures(a.Status.Failures)
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -506,6 +506,16 @@
 						h.restart(ctx, 1)
 					}
 					over()
+					if rolls == 1 { // what was kept is on record soon, whoever holds the machines
+						h.pass(2500 * time.Millisecond)
+						for i := range h.n {
+							h.crash(i)
+						}
+						h.pass(300 * time.Millisecond)
+						for i := range h.n {
+							h.restart(ctx, i)
+						}
+					}
 					h.pass(100 * time.Second)
 					for _, id := range jobs {
 						if st := h.ask(ctx, id); st != wire.Done {
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -72,7 +72,7 @@
 			return why
 		}},
 		duty.Duty{Name: "writer", Run: c.writer.Run, Amiss: c.writer.Amiss},
-		duty.Duty{Name: "completions", Run: c.pruneCompletions},
+		duty.Duty{Name: "completions", Run: c.recorder.Run},
 		duty.Duty{Name: "sweeper", Run: c.Workers.Sweep},
 		duty.Duty{Name: "publisher", Run: func(ctx context.Context) error { return c.members.Publish(ctx, c.store, c.published) }},
 		duty.Duty{Name: "reader of publications", Run: func(ctx context.Context) error { return c.members.ReadPublished(ctx, c.mirror) }},
--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -277,7 +277,7 @@
 		}
 		done := mesh.Completion{Job: t.Task.Job, Task: t.Task.Index, Attempt: t.Attempt, Machine: r.Machine, Session: r.Session}
 		if c.Lacking(done) {
-			c.Completed.Note(done, now)
+			c.Completed.Note(done, !c.Mirror.InTouch(now, settings.StartContact), now)
 		}
 	}
 }
--- a/internal/lead/returns.go
+++ b/internal/lead/returns.go
@@ -71,7 +71,7 @@
 	for _, h := range held {
 		for i := range h.Count {
 			task := h.First + wire.TaskIndex(i)
-			exits = append(exits, workers.Exit{Held: h, Task: task, Cause: l.c.Completed.Cause(&h, task)})
+			exits = append(exits, workers.Recall(l.c.Completed, h, task))
 		}
 	}
 	l.releasing[id] = workers.ExitChanges(l.c.Mirror, exits)
--- a/internal/workers/exits.go
+++ b/internal/workers/exits.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"slices"
+
 	"maddermill/internal/ledger"
 	"maddermill/internal/mirror"
 	"maddermill/internal/writer"
@@ -20,7 +22,8 @@
 	var out []*writer.Change
 	for _, j := range order {
 		list := byJob[j]
-		out = append(out, &writer.Change{Spare: j.BestEffort(), Work: j.Spec.Priority, Draft: func(d *ledger.Draft) error { return draftExits(m.Records(), d, j.ID, list) }})
+		first := slices.ContainsFunc(list, func(e Exit) bool { return e.Recalled })
+		out = append(out, &writer.Change{First: first, Spare: j.BestEffort() && !first, Work: j.Spec.Priority, Draft: func(d *ledger.Draft) error { return draftExits(m.Records(), d, j.ID, list) }})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/workers/recorder.go
@@ -0,0 +1,112 @@
+package workers
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"maddermill/internal/clock"
+	"maddermill/internal/completion"
+	"maddermill/internal/ledger"
+	"maddermill/internal/mesh"
+	"maddermill/internal/metrics"
+	"maddermill/internal/mirror"
+	"maddermill/internal/settings"
+	"maddermill/internal/writer"
+	"maddermill/wire"
+)
+
+const (
+	// recordEvery is how often it is looked for completions to record.
+	recordEvery = 300 * time.Millisecond
+	// othersRecord is how long after an outage the completions of other controllers' jobs are left to
+	// them, so that not all write the same records.
+	othersRecord = 4 * time.Second
+)
+
+// Recorder records the completions that were reported while the state service was out of reach as
+// soon as it is back, whoever holds the machines then: most of their workers have begun new sessions
+// and report only seconds later. It also drops completions that are on record.
+type Recorder struct {
+	completed *completion.Log
+	mirror    *mirror.Mirror
+	writer    *writer.Writer
+	limits    ledger.Limits
+	stats     *metrics.Set
+	log       *slog.Logger
+
+	touched   time.Time // since when the state service is in reach; zero: it isn't
+	recording map[wire.JobID][]*writer.Change
+}
+
+// NewRecorder returns a recorder that does nothing before Run. Limits tell which of how many
+// controllers this one is.
+func NewRecorder(completed *completion.Log, m *mirror.Mirror, w *writer.Writer, limits ledger.Limits, stats *metrics.Set, log *slog.Logger) *Recorder {
+	return &Recorder{completed: completed, mirror: m, writer: w, limits: limits, stats: stats, log: log, recording: map[wire.JobID][]*writer.Change{}}
+}
+
+// Run records and drops completions until ctx ends.
+func (r *Recorder) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, recordEvery)
+		r.mirror.Read(func(l *ledger.Ledger) { r.look(l, time.Now()) })
+	}
+	return ctx.Err()
+}
+
+// look is one look at the log, under the mirror's lock.
+func (r *Recorder) look(l *ledger.Ledger, now time.Time) {
+	if !r.mirror.InTouch(now, settings.StartContact) {
+		r.touched = time.Time{}
+		return
+	}
+	if r.touched.IsZero() {
+		r.touched = now
+	}
+	r.completed.Prune(l, r.mirror.Contact())
+	for id, changes := range r.recording {
+		if !anyOpen(changes) {
+			delete(r.recording, id)
+		}
+	}
+	for id, exits := range r.lacking(l, now) {
+		r.log.Info("completions recorded", "job", id, "tasks", len(exits))
+		r.stats.Add("completions_recorded_total", int64(len(exits)))
+		r.recording[id] = ExitChanges(r.mirror, exits)
+		for _, change := range r.recording[id] {
+			r.writer.Enqueue(change)
+		}
+	}
+}
+
+// lacking is what this controller is to record now, by job.
+func (r *Recorder) lacking(l *ledger.Ledger, now time.Time) map[wire.JobID][]Exit {
+	out := map[wire.JobID][]Exit{}
+	r.completed.Apart(func(c mesh.Completion) {
+		if r.recording[c.Job] != nil || !r.mine(c.Job) && now.Sub(r.touched) < othersRecord {
+			return
+		}
+		if held, ok := completion.ClaimOf(l, c); ok {
+			out[c.Job] = append(out[c.Job], Exit{Held: held, Task: c.Task, Cause: wire.CauseDone, Recalled: true})
+		}
+	})
+	return out
+}
+
+// mine reports whether a job's completions are this controller's to record first.
+func (r *Recorder) mine(id wire.JobID) bool {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32()%uint32(max(1, r.limits.Of))) == r.limits.Number
+}
+
+// anyOpen reports whether one of some changes is neither made nor dropped yet.
+func anyOpen(changes []*writer.Change) bool {
+	for _, change := range changes {
+		if len(change.Done()) == 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -66,6 +66,15 @@
 	Cause wire.Cause // "" when the task is just not there
 	Saved bool
 	Ran   time.Duration // how long it was seen running, 0 if unknown
+	// Recalled: the worker has forgotten it and can't tell of it again.
+	Recalled bool
+}
+
+// Recall is the end of a claim's task that no worker can show any more: done if that was reported,
+// else nothing is known of it.
+func Recall(completed *completion.Log, h ledger.Held, task wire.TaskIndex) Exit {
+	cause := completed.Cause(&h, task)
+	return Exit{Held: h, Task: task, Cause: cause, Recalled: cause == wire.CauseDone}
 }
 
 // Seen is a task seen on the machine, in some state, with its claim.
@@ -131,7 +140,7 @@
 			switch t := there[id]; {
 			case h.Session < r.Session:
 				// The worker has forgotten how it ended, which may be known all the same.
-				f.Exits = append(f.Exits, Exit{Held: h, Task: task, Cause: w.completed.Cause(&h, task)})
+				f.Exits = append(f.Exits, Recall(w.completed, h, task))
 			case h.Session > r.Session:
 				// The report is from before the claim's session.
 			case t != nil && w.rejoins(h, t):
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -34,6 +34,7 @@
 	Draft func(*ledger.Draft) error
 	Drop  bool // a start: given up after Until
 	Until time.Time
+	First bool          // of what nobody can tell once this process ends: before all others
 	Late  bool          // of work that has waited for too long: before other starts
 	Work  wire.Priority // of what it is about; "": it comes with the highest
 	Spare bool          // of work that only takes what others leave
@@ -154,11 +155,14 @@
 
 // alternate orders a queue so that starts, which are given up after a while, and all else take
 // turns: in a flood of exits no start would ever be in time otherwise. Starts of what is late come
-// before other starts.
+// before other starts. What nobody could tell again comes first: there is little of it, and only
+// after an outage.
 func alternate(queue []*Change) []*Change {
-	var others, late, starts []*Change
+	var first, others, late, starts []*Change
 	for _, ch := range queue {
 		switch {
+		case ch.First:
+			first = append(first, ch)
 		case !ch.Drop:
 			others = append(others, ch)
 		case ch.Late:
@@ -167,7 +171,7 @@
 			starts = append(starts, ch)
 		}
 	}
-	return turns(byPriority(others), append(late, byPriority(starts)...))
+	return append(first, turns(byPriority(others), append(late, byPriority(starts)...))...)
 }
 
 // byPriority has changes of all priorities take turns, the upper two more often, each in its own
