--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -505,13 +505,21 @@
 						h.restart(ctx, 0)
 						h.restart(ctx, 1)
 					}
+					if rolls == 1 {
+						for _, m := range h.cloud.Up() {
+							h.speaks(m.Type.ID, false)
+						}
+					}
 					over()
-					if rolls == 1 { // what was kept is on record soon, whoever holds the machines
+					if rolls == 1 { // what was kept is on record soon, though no machine reports
 						h.pass(2500 * time.Millisecond)
 						for i := range h.n {
 							h.crash(i)
 						}
 						h.pass(300 * time.Millisecond)
+						for _, m := range h.cloud.Up() {
+							h.speaks(m.Type.ID, true)
+						}
 						for i := range h.n {
 							h.restart(ctx, i)
 						}
