A gang's claims that were never sent are taken over; gangs avoid machines that are overdue

Cause: a holder's end released the claims that it had not sent, which took the whole gang's start; and a gang was given machines that had just stopped. Change: who holds the machine next takes the claims over and sends them; machines whose report is overdue come last for gangs. Without the first TestGangBeginsInOtherHands sees a second attempt.

--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -585,3 +585,51 @@
 		h.verdict(cancel)
 	})
 }
+
+// TestGangBeginsInOtherHands: the controllers that hold a gang's machines end just after it is claimed,
+// before they have sent its start. Whoever holds the machines next takes the claims over and sends it:
+// the gang begins as its first attempt. Before, each end cost such a gang its start, fetches and all.
+func TestGangBeginsInOtherHands(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := meeting(t, seed, 3)
+			gang := &wire.JobSpec{Shape: wire.Gang, Tasks: 3, GPUs: 2}
+			fill(gang, 3)
+			h.cloud.Run = func(wire.TaskID) time.Duration { return 20 * time.Second }
+			ctx, cancel := context.WithCancel(t.Context())
+			var once sync.Once
+			last := wire.Attempt(0)
+			h.reported = func(_ int, r *wire.Report) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				for i := range r.Tasks {
+					last = max(last, r.Tasks[i].Attempt)
+				}
+			}
+			h.at = func(_ int, step string) {
+				if step != "start answered" {
+					return
+				}
+				once.Do(func() { // not here: a step is a part of what ends
+					h.group.Go(func() {
+						for i := range h.n {
+							h.crash(i)
+						}
+						clock.Sleep(ctx, 300*time.Millisecond)
+						for i := range h.n {
+							h.restart(ctx, i)
+						}
+					})
+				})
+			}
+			h.begin(ctx, 4, 0)
+			h.pass(12 * time.Second)
+			h.submit(ctx, gang)
+			h.pass(90 * time.Second)
+			if st := h.ask(ctx, gang.ID); st != wire.Done || last != 1 {
+				t.Errorf("seed %d: it is %s after attempt %d", seed, st, last)
+			}
+			h.verdict(cancel)
+		})
+	}
+}
--- a/internal/desk/spread.go
+++ b/internal/desk/spread.go
@@ -61,7 +61,7 @@
 	for _, h := range c.led().HeldBy(w.ID) {
 		tasks += h.Count
 	}
-	if c.surplus.count <= 0 || now.Sub(w.Sent) < redirectEvery || len(f.Exits)+len(f.GaveUp) > 0 || len(f.Seen) != tasks || !w.Recall.IsZero() {
+	if c.surplus.count <= 0 || now.Sub(w.Sent) < redirectEvery || len(f.Exits)+len(f.TakeOver) > 0 || len(f.Seen) != tasks || !w.Recall.IsZero() {
 		return ReportAnswer{}, false
 	}
 	c.surplus.count--
--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -217,7 +217,7 @@
 // enqueueFindings asks for the changes that follow from what a report proves.
 func (c *Workers) enqueueFindings(w *workers.Worker, f *workers.Findings, began time.Time) []*writer.Change {
 	changes := workers.ExitChanges(c.Mirror, f.Exits)
-	for _, h := range f.GaveUp {
+	for _, h := range f.TakeOver {
 		changes = append(changes, c.takeOver(w, h, began.Add(c.reportWait())))
 	}
 	if !w.Recall.IsZero() {
@@ -392,9 +392,9 @@
 	return out
 }
 
-// takeOver has a gang's tasks that gave up waiting wait on, though another controller claimed them:
-// the claim comes under our token, and the answer starts them again. A gang whose machines change
-// hands while one of them fetches would else begin anew each time.
+// takeOver has a gang's tasks that gave up waiting wait on, or those that were never sent begin, though
+// another controller claimed them: the claim comes under our token, and the answer starts them. A gang
+// whose machines change hands while one of them fetches would else begin anew each time.
 func (c *Workers) takeOver(w *workers.Worker, h ledger.Held, until time.Time) *writer.Change {
 	id, attempt, site := h.Job.ID, h.Attempt, c.siteOf(w)
 	return &writer.Change{Drop: true, Until: until, Draft: func(d *ledger.Draft) error {
--- a/internal/place/gangs.go
+++ b/internal/place/gangs.go
@@ -114,19 +114,28 @@
 	return roomy
 }
 
+// overdue puts machines whose next report should have come after all others: one that has stopped
+// costs a whole gang its start.
+func overdue(m *Machine) int {
+	if m.Overdue {
+		return 1
+	}
+	return 0
+}
+
 // rankBusy is the rank of an image on a machine that would have to fetch it while
 // it fetches another: the two share the rate.
 const rankBusy = rankAbsent + 1
 
 // gang places one gang. Its tasks start together, so the machine furthest from
 // having the image decides when: of the zones that it may be in, the one goes first
-// where that one is nearest; how near is told. Machines nearest to the image go first, among them cheap
+// where that one is nearest; how near is told. Machines that report in time and are nearest to the image go first, among them cheap
 // ones, which not all work may use, and then those that the gang fills best.
 func (v *View) gang(e *Entry, roomy []*Machine, fetches map[wire.MachineID]wire.Image) (best []ledger.Placed, bestRank int) {
 	j := e.Job
 	need := j.Together()
 	found := nearest[gangOption]{most: need, order: func(a, b gangOption) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
+		return cmp.Or(cmp.Compare(overdue(a.m), overdue(b.m)), cmp.Compare(a.rank, b.rank), cmp.Compare(own(a.m), own(b.m)), cmp.Compare(a.left, b.left),
 			cmp.Compare(b.room, a.room), cmp.Compare(a.m.ID, b.m.ID))
 	}}
 	var all []gangOption // with a topology
@@ -171,7 +180,7 @@
 			}
 			taken[o.m.Zone] += n
 			left -= n
-			rank = o.rank
+			rank = max(rank, o.rank)
 			out = append(out, ledger.Placed{Site: o.m.Site(), Count: n})
 		}
 		if left == 0 && (best == nil || rank < bestRank) {
--- a/internal/place/machine.go
+++ b/internal/place/machine.go
@@ -34,6 +34,7 @@
 	FetchGB float64        // a second
 	Block   topology.Block // where it is, if a topology is declared
 	Slow    bool           // its tasks take longer than others'
+	Overdue bool           // its next report should have come: it may have stopped
 	Faulty  bool           // it is judged to fail tasks that others would not
 }
 
--- a/internal/schedule/picture.go
+++ b/internal/schedule/picture.go
@@ -157,6 +157,15 @@
 	m.Free = s.led().Free(m.Site())
 }
 
+// tellsOfSilence is how long ago a peer may have been asked for its machines' silence to be theirs.
+const tellsOfSilence = 2500 * time.Millisecond
+
+// overdueAfter is after what silence a machine's next report should have come: reports are up to a
+// quarter late.
+func (s *Scheduler) overdueAfter() time.Duration {
+	return s.set.Cluster.Workers.Report.Duration()*5/4 + time.Second
+}
+
 // machines lists every machine that some controller has heard lately.
 func (s *Scheduler) machines(now time.Time) []*place.Machine {
 	silent := s.set.SilentAfter()
@@ -164,7 +173,9 @@
 	heard := map[wire.MachineID]time.Time{}
 	s.roster.Each(func(w *workers.Worker) {
 		if now.Sub(w.Heard) < silent {
-			byID[w.ID], heard[w.ID] = s.MachineOf(w, now), w.Heard
+			m := s.MachineOf(w, now)
+			m.Overdue = now.Sub(w.Heard) > s.overdueAfter()
+			byID[w.ID], heard[w.ID] = m, w.Heard
 		}
 	})
 	for _, p := range s.members.Peers() {
@@ -172,7 +183,10 @@
 			o := &p.Status.Machines[i]
 			at := p.Heard(o)
 			if now.Sub(at) < silent && at.After(heard[o.ID]) && s.led().Mark(o.ID) == "" {
-				byID[o.ID], heard[o.ID] = s.machineOfPeer(o, at, now), at
+				m := s.machineOfPeer(o, at, now)
+				// Of one that is not heard itself, or only by what it published, nothing is told.
+				m.Overdue = p.Status.Loaded && now.Sub(p.Asked) < tellsOfSilence && now.Sub(at) > s.overdueAfter()
+				byID[o.ID], heard[o.ID] = m, at
 			}
 		}
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -86,9 +86,18 @@
 
 // Findings is what a report tells.
 type Findings struct {
-	Exits  []Exit
-	Seen   []Seen
-	GaveUp []ledger.Held // claims under a lower token of gangs' tasks that are to wait on: to be taken over first
+	Exits []Exit
+	Seen  []Seen
+	// TakeOver are claims under a lower token of gangs' tasks that are to wait on, or to begin: before
+	// that they must come under ours.
+	TakeOver []ledger.Held
+}
+
+// takeOver adds a claim to those that are to be taken over, once an attempt.
+func (f *Findings) takeOver(h ledger.Held) {
+	if !slices.ContainsFunc(f.TakeOver, func(o ledger.Held) bool { return o.Job == h.Job && o.Attempt == h.Attempt }) {
+		f.TakeOver = append(f.TakeOver, h)
+	}
 }
 
 // Take takes in a report that is not stale and tells which claims it proves to
@@ -147,9 +156,7 @@
 				// It is sent again under its claim.
 			case t != nil && w.Recall.IsZero() && h.Token < hold && w.gaveUp(h, t):
 				f.Seen = append(f.Seen, Seen{h, task, t.State})
-				if !slices.ContainsFunc(f.GaveUp, func(o ledger.Held) bool { return o.Job == h.Job && o.Attempt == h.Attempt }) {
-					f.GaveUp = append(f.GaveUp, h)
-				}
+				f.takeOver(h)
 			case t != nil && t.State == wire.TaskExited && t.Cause == wire.CauseAlone && (!w.Fresh || h.Token > hold):
 				// Whoever holds the machine may have it wait on under the same attempt: an old
 				// report of its giving up, taken by another controller, proves nothing. Once the
@@ -163,6 +170,10 @@
 				f.Exits = append(f.Exits, e)
 			case t != nil:
 				f.Seen = append(f.Seen, Seen{h, task, t.State})
+			case w.Fresh && h.Token < hold && w.mayBegin(h):
+				// Its holder ended before it was sent, or the answer did not arrive. To release it would
+				// cost the whole gang its start.
+				f.takeOver(h)
 			case w.Fresh && h.Token < hold:
 				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
 			case h.Token == hold && (w.Fresh && !w.wanted(h) || dropped[id] || w.hears.deaf) || slices.Contains(w.tokens, h.Token):
@@ -201,6 +212,12 @@
 	return t.State == wire.TaskExited && t.Cause == wire.CauseAlone && w.Fresh && w.wanted(h)
 }
 
+// mayBegin reports whether a task that is not on the machine is a gang's that may begin there all the
+// same, whoever claimed it.
+func (w *Worker) mayBegin(h ledger.Held) bool {
+	return h.Job.Together() > 1 && w.Recall.IsZero() && w.wanted(h)
+}
+
 // wanted reports whether a claim's tasks should be on the machine.
 func (w *Worker) wanted(h ledger.Held) bool {
 	return h.Job.State == ledger.Active && !h.Job.Doomed && (h.Job.Spec.Shape != wire.Gang || h.Job.Stop < h.Attempt)
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -126,7 +126,7 @@
 		mayStart bool
 		seen     wire.Token // by the worker
 		exits    int
-		gaveUp   int
+		takeOver int
 		ops      []wire.Op
 	}{
 		{"waits on", 0, "", hold, true, hold, 0, 0, []wire.Op{wire.OpForget, wire.OpStart}},
@@ -147,8 +147,8 @@
 		for _, cmd := range w.Commands(r, h, ledger.Resources{}, tc.mayStart) {
 			ops = append(ops, cmd.Op)
 		}
-		if len(f.Exits) != tc.exits || len(f.GaveUp) != tc.gaveUp || !slices.Equal(ops, tc.ops) {
-			t.Errorf("%s: %d exits, %d gave up and %v, want %d, %d and %v", tc.name, len(f.Exits), len(f.GaveUp), ops, tc.exits, tc.gaveUp, tc.ops)
+		if len(f.Exits) != tc.exits || len(f.TakeOver) != tc.takeOver || !slices.Equal(ops, tc.ops) {
+			t.Errorf("%s: %d exits, %d taken over and %v, want %d, %d and %v", tc.name, len(f.Exits), len(f.TakeOver), ops, tc.exits, tc.takeOver, tc.ops)
 		}
 	}
 }
