Histories have the newer troubles; users look closely and a plain model checks every answer

Mute machines, zones cut off with a controller, lost answers of transactions, reports held for the next leader, leaders that end again and again; what is told is checked against what any controller had told before it was asked.

--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -73,9 +73,12 @@
 
 	reported func(at int, r *wire.Report) // called with each report that is sent, if given
 	deaf     map[wire.MachineID]bool      // whose reports arrive, and no answer to them
-	mute     map[wire.MachineID]bool      // whose reports reach nobody
-	shut     map[wire.Zone]int            // zones that are cut off, each with a controller; -1: with none
-	lossy    float64                      // share of transactions without an answer
+	answers  answers
+	keeping  bool                    // copies of reports
+	kept     []heldReport            // so far
+	mute     map[wire.MachineID]bool // whose reports reach nobody
+	shut     map[wire.Zone]int       // zones that are cut off, each with a controller; -1: with none
+	lossy    float64                 // share of transactions without an answer
 }
 
 func (h *history) chance(n int) int {
@@ -89,7 +92,7 @@
 // newHistoryOf is a history with so many controllers, whose settings are changed by tune.
 func newHistoryOf(t *testing.T, seed uint64, n int, tune func(*settings.Settings)) *history {
 	h := &history{t: t, seed: seed, n: n, tune: tune, rng: rand.New(rand.NewPCG(seed, 2)), cores: make([]*Core, n), lives: make([]context.Context, n),
-		stop: make([]context.CancelFunc, n), cut: make([]bool, n), upTo: make([]int, n), deaf: map[wire.MachineID]bool{}, mute: map[wire.MachineID]bool{}, shut: map[wire.Zone]int{}}
+		stop: make([]context.CancelFunc, n), cut: make([]bool, n), upTo: make([]int, n), deaf: map[wire.MachineID]bool{}, mute: map[wire.MachineID]bool{}, shut: map[wire.Zone]int{}, answers: answers{latest: map[wire.JobID]wire.Status{}}}
 	set := h.settings(0)
 	h.world = standin.NewWorld(set.Cluster.Workers.Cancel.Duration())
 	h.world.TeamMax["capped"] = 4
@@ -334,6 +337,7 @@
 		if h.reported != nil {
 			h.reported(at, r)
 		}
+		h.keep(r)
 		c := h.core(at)
 		if c == nil || !h.reaches(m, at) {
 			at, retry = (at+1)%h.n, true
@@ -498,50 +502,41 @@
 	}
 }
 
-// user submits a job, polls it and perhaps cancels it.
+// user submits a job, polls it and perhaps cancels it, and looks closely whenever it was told something
+// new of it.
 func (h *history) user(ctx context.Context, spec *wire.JobSpec, cancelAfter time.Duration, finished *int) {
 	h.world.Upload(spec)
-	ask := func(f func(context.Context, *Core) (wire.JobStatus, error)) (wire.JobStatus, bool) {
-		st, ok := askAny(ctx, h, string(spec.ID), f)
-		if ok {
-			h.world.Told(spec.ID, st.Status)
-		}
-		return st, ok
-	}
-	if _, ok := ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) {
-		st, _, err := c.Users.Submit(ctx, spec)
-		return st, err
-	}); !ok {
-		return
-	}
+	st := h.askOne(ctx, spec.ID, submission(spec))
+	h.askAll(ctx, spec)
 	began := time.Now()
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, 5*time.Second)
-		f := func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Status(ctx, spec.ID) }
+		r := status(spec.ID)
 		if cancelAfter > 0 && time.Since(began) > cancelAfter {
-			f = func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Cancel(ctx, spec.ID) }
-		}
-		st, _ := ask(f)
-		if st.Status == wire.Done || st.Status == wire.Cancelled {
-			h.mu.Lock()
-			*finished++
-			h.mu.Unlock()
-			clock.Sleep(ctx, 70*time.Second)
-			ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Status(ctx, spec.ID) })
-			// A retry may come at any later time, and gets the state that the job ended in.
-			again, ok := ask(func(ctx context.Context, c *Core) (wire.JobStatus, error) {
-				st, created, err := c.Users.Submit(ctx, spec)
-				if created {
-					h.t.Errorf("seed %d: %s is accepted anew", h.seed, spec.ID)
-				}
-				return st, err
-			})
-			if ok && again.Status != st.Status {
-				h.t.Errorf("seed %d: %s is %s and was %s", h.seed, spec.ID, again.Status, st.Status)
-			}
-			return
+			r = cancellation(spec.ID)
+		}
+		if st = h.askOne(ctx, spec.ID, r); rankOf(st) == 2 {
+			break
 		}
 	}
+	if ctx.Err() != nil {
+		return
+	}
+	h.askAll(ctx, spec)
+	h.mu.Lock()
+	*finished++
+	h.mu.Unlock()
+	clock.Sleep(ctx, 70*time.Second)
+	h.askOne(ctx, spec.ID, status(spec.ID))
+	// A retry may come at any later time, and gets the state that the job ended in.
+	h.askOne(ctx, spec.ID, func(ctx context.Context, c *Core) (wire.JobStatus, error) {
+		st, created, err := c.Users.Submit(ctx, spec)
+		if created {
+			h.t.Errorf("seed %d: %s is accepted anew", h.seed, spec.ID)
+		}
+		return st, err
+	})
+	h.askOne(ctx, spec.ID, cancellation(spec.ID))
 }
 
 func (h *history) spec(i int) *wire.JobSpec {
@@ -575,7 +570,37 @@
 // trouble makes one thing go wrong for a while.
 func (h *history) trouble(ctx context.Context) {
 	i, for_ := h.chance(h.n), time.Duration(2+h.chance(25))*time.Second
-	switch h.chance(15) {
+	switch h.chance(20) {
+	case 15: // machines reach nobody
+		for k, m := range h.cloud.Up() {
+			if k%2 == 0 {
+				h.speaks(m.Type.ID, false)
+				defer h.speaks(m.Type.ID, true)
+			}
+		}
+		clock.Sleep(ctx, for_+10*time.Second)
+	case 16:
+		end := h.cutZone("b", i)
+		clock.Sleep(ctx, 2*for_)
+		end()
+	case 17: // only the answers of transactions are lost
+		for _, l := range h.links {
+			l.SetLate(func(wire.Txn) time.Duration { return time.Duration(h.chance(2)) * time.Millisecond })
+		}
+		clock.Sleep(ctx, for_)
+		for _, l := range h.links {
+			l.SetLate(nil)
+		}
+	case 18:
+		h.holdReports(ctx, for_, time.Duration(h.chance(20))*time.Second)
+	case 19: // the leader ends, and ends again
+		for range 3 {
+			at := h.leading()
+			h.crash(at)
+			clock.Sleep(ctx, 300*time.Millisecond)
+			h.restart(ctx, at)
+			clock.Sleep(ctx, 7*time.Second)
+		}
 	case 11: // transactions get no answer, and many are carried out after newer ones
 		for _, l := range h.links {
 			l.SetLossy(0.5)
--- a/internal/controller/meeting_plan_test.go
+++ b/internal/controller/meeting_plan_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -10,7 +9,6 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
 	"maddermill/internal/settings"
 	"maddermill/internal/standin"
 	"maddermill/wire"
@@ -44,23 +42,15 @@
 // meetingRun is one play of a plan.
 type meetingRun struct {
 	*history
-	plan    *meetingPlan
-	ctx     context.Context
-	answers answers
-	kept    []heldReport // copies of reports, while they are kept
+	plan *meetingPlan
+	ctx  context.Context
 
 	users     sync.Mutex
-	keeping   bool
 	accepted  map[wire.JobID]bool
 	final     map[wire.JobID]wire.Status
 	cancelled chan wire.JobID // at the end of its last task
 }
 
-type heldReport struct {
-	report wire.Report
-	at     time.Time
-}
-
 // play plays a plan by a seed.
 func (p *meetingPlan) play(t *testing.T, seed uint64) {
 	nodes := max(p.nodes, 3)
@@ -69,8 +59,6 @@
 	h.cloud.Most = max(p.most, p.machines)
 	h.cloud.Run = func(wire.TaskID) time.Duration { return 10 * time.Second }
 	m := &meetingRun{history: h, plan: p, accepted: map[wire.JobID]bool{}, final: map[wire.JobID]wire.Status{}, cancelled: make(chan wire.JobID, 1000)}
-	m.answers.latest = map[wire.JobID]wire.Status{}
-	h.reported = m.keep
 	if p.world != nil {
 		p.world(h)
 	}
@@ -147,121 +135,17 @@
 	return m.final[id]
 }
 
-// answers is the plain model of what may be told of jobs: a job is unknown, then accepted, then
-// done or cancelled, for ever. An answer may tell no less than one that came before it was asked for.
-type answers struct {
-	mu     sync.Mutex
-	latest map[wire.JobID]wire.Status
-}
-
-const unknownJob wire.Status = ""
-
-func rankOf(s wire.Status) int {
-	switch s {
-	case unknownJob:
-		return 0
-	case wire.Done, wire.Cancelled:
-		return 2
-	}
-	return 1
-}
-
-// asked tells what is known when a question is asked.
-func (a *answers) asked(id wire.JobID) wire.Status {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.latest[id]
-}
-
-// answered takes in an answer and reports whether it is one that may be given.
-func (a *answers) answered(id wire.JobID, before, got wire.Status) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if rankOf(got) > rankOf(a.latest[id]) {
-		a.latest[id] = got
-	}
-	return rankOf(got) > rankOf(before) || rankOf(got) == rankOf(before) && (rankOf(got) < 2 || got == before)
-}
-
-type request func(ctx context.Context, c *Core) (wire.JobStatus, error)
-
-// ask asks one controller and checks what it says. A process that ends meanwhile answers nothing.
-func (m *meetingRun) ask(id wire.JobID, at int, r request) (wire.Status, bool) {
-	c := m.core(at)
-	if c == nil {
-		return "", false
-	}
-	before := m.answers.asked(id)
-	ctx, cancel := context.WithTimeout(m.ctx, 5*time.Second)
-	st, err := r(ctx, c)
-	cancel()
-	if m.core(at) != c || m.ctx.Err() != nil || err != nil && !errors.Is(err, desk.ErrNoSuchJob) {
-		return "", false
-	}
-	got := st.Status
-	if err != nil {
-		got = unknownJob
-	}
-	if !m.answers.answered(id, before, got) {
-		m.t.Errorf("%s: controller %d says %q, and %q was told before it was asked", id, at, got, before)
-	}
-	if got != unknownJob {
-		m.world.Told(id, got)
-	}
-	return got, true
-}
-
-// askOne asks controllers in turn until one answers.
-func (m *meetingRun) askOne(id wire.JobID, r request) wire.Status {
-	for at := m.chance(m.n); m.ctx.Err() == nil; at = (at + 1) % m.n {
-		if st, ok := m.ask(id, at, r); ok {
-			return st
-		}
-		clock.Sleep(m.ctx, 500*time.Millisecond)
-	}
-	return ""
-}
-
-// askAll asks all controllers at once and again some milliseconds later, and repeats the submission
-// at each.
-func (m *meetingRun) askAll(spec *wire.JobSpec) {
-	for i := range m.n {
-		m.group.Go(func() {
-			for _, pause := range []time.Duration{time.Millisecond, 3 * time.Millisecond, 40 * time.Millisecond} {
-				clock.Sleep(m.ctx, pause)
-				m.ask(spec.ID, i, status(spec.ID))
-			}
-			m.ask(spec.ID, i, submission(spec))
-		})
-	}
-}
-
-func status(id wire.JobID) request {
-	return func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Status(ctx, id) }
-}
-
-func submission(spec *wire.JobSpec) request {
-	return func(ctx context.Context, c *Core) (wire.JobStatus, error) {
-		st, _, err := c.Users.Submit(ctx, spec)
-		return st, err
-	}
-}
-
-func cancellation(id wire.JobID) request {
-	return func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Cancel(ctx, id) }
-}
-
 // user submits a job, looks closely whenever something became of it, and perhaps cancels it.
 func (m *meetingRun) user(spec *wire.JobSpec, cancelAfter time.Duration) {
 	m.world.Upload(spec)
-	st := m.askOne(spec.ID, submission(spec))
+	st := m.askOne(m.ctx, spec.ID, submission(spec))
 	if m.ctx.Err() != nil {
 		return
 	}
 	m.users.Lock()
 	m.accepted[spec.ID] = true
 	m.users.Unlock()
-	m.askAll(spec)
+	m.askAll(m.ctx, spec)
 	began := time.Now()
 	for m.ctx.Err() == nil && rankOf(st) < 2 {
 		wait := 3 * time.Second
@@ -270,29 +154,20 @@
 		}
 		clock.Sleep(m.ctx, wait)
 		if cancelAfter > 0 && time.Since(began) >= cancelAfter {
-			st = m.askOne(spec.ID, cancellation(spec.ID))
+			st = m.askOne(m.ctx, spec.ID, cancellation(spec.ID))
 			continue
 		}
-		st = m.askOne(spec.ID, status(spec.ID))
+		st = m.askOne(m.ctx, spec.ID, status(spec.ID))
 	}
 	if m.ctx.Err() != nil {
 		return
 	}
-	m.askAll(spec)
+	m.askAll(m.ctx, spec)
 	m.users.Lock()
 	m.final[spec.ID] = st
 	m.users.Unlock()
 }
 
-// keep keeps a copy of a report, while that is wanted.
-func (m *meetingRun) keep(_ int, r *wire.Report) {
-	m.users.Lock()
-	defer m.users.Unlock()
-	if m.keeping {
-		m.kept = append(m.kept, heldReport{*r, time.Now()})
-	}
-}
-
 // Events.
 
 func ending(at time.Duration, which func(m *meetingRun) int, back time.Duration) meetingEvent {
@@ -401,31 +276,5 @@
 // heldReports keeps copies of all reports for a while; all arrive at every controller so long after
 // the next time that a controller begins to lead.
 func heldReports(at, length, after time.Duration) meetingEvent {
-	return meetingEvent{at, func(m *meetingRun) {
-		m.users.Lock()
-		m.keeping = true
-		m.users.Unlock()
-		clock.Sleep(m.ctx, length)
-		m.users.Lock()
-		m.keeping = false
-		kept := m.kept
-		m.users.Unlock()
-		for _, before := m.leadership(); m.ctx.Err() == nil; clock.Sleep(m.ctx, 10*time.Millisecond) {
-			if at, now := m.leadership(); at >= 0 && now > before {
-				break
-			}
-		}
-		clock.Sleep(m.ctx, after)
-		for _, k := range kept {
-			for i := range m.n {
-				if c := m.core(i); c != nil {
-					m.group.Go(func() {
-						report := k.report
-						_ = c.Workers.Report(m.ctx, &report)
-					})
-				}
-			}
-			clock.Sleep(m.ctx, time.Millisecond)
-		}
-	}}
+	return meetingEvent{at, func(m *meetingRun) { m.holdReports(m.ctx, length, after) }}
 }
--- a/internal/controller/meeting_table_test.go
+++ b/internal/controller/meeting_table_test.go
@@ -274,7 +274,7 @@
 		cancel()
 		for k := range m.plan.jobs {
 			if st := m.finalOf(jobID(k)); st == wire.Done {
-				m.ask(jobID(k), i, cancellation(jobID(k)))
+				m.askAt(m.ctx, jobID(k), i, cancellation(jobID(k)))
 			}
 		}
 	}
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -36,19 +36,12 @@
 		s.Class, s.Team, s.Priority, s.CPUs, s.MemoryGB, s.Image, s.ImageGB, s.Spot, s.Estimate = "c", "free", wire.Normal, 1, 1, "img-0", 2, true, 60
 	}
 	h.world.Upload(s)
-	_, _ = askAny(ctx, h, string(s.ID), func(ctx context.Context, c *Core) (wire.JobStatus, error) {
-		st, _, err := c.Users.Submit(ctx, s)
-		return st, err
-	})
+	h.askOne(ctx, s.ID, submission(s))
 }
 
 // ask asks about a job until it is answered.
 func (h *history) ask(ctx context.Context, id wire.JobID) wire.Status {
-	st, ok := askAny(ctx, h, string(id), func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Status(ctx, id) })
-	if ok {
-		h.world.Told(id, st.Status)
-	}
-	return st.Status
+	return h.askOne(ctx, id, status(id))
 }
 
 // attempt is the last attempt of a job's first tasks, and up to which it is to stop, as the
