--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -82,194 +82,88 @@
 	Drain []wire.MachineID
 }
 
-type slot struct {
-	unit Unit
-	used bool
-	new  bool
-}
-
 // Make packs the pending work, in policy order, into the machines there are or
 // that are booting, rents what the rest needs, and gives back machines idle for
 // longer than it would take to boot them again.
 func Make(in *Input) Plan {
-	var slots []*slot
-	inUse := 0
-	for _, u := range in.Units {
-		if u.Usable {
-			slots = append(slots, &slot{unit: u})
-		}
-		if u.IdleSince.IsZero() && !u.Booting {
-			inUse++
-		}
-	}
-	// Machines that are up come first, then those that boot; cheap ones before
-	// dear ones, which are kept for work that may run nowhere else.
-	slices.SortStableFunc(slots, func(a, b *slot) int {
-		boot := func(s *slot) int {
-			if s.unit.Booting {
-				return 1
-			}
-			return 0
-		}
-		return cmp.Or(cmp.Compare(boot(a), boot(b)), cmp.Compare(in.price(a.unit.option()), in.price(b.unit.option())), cmp.Compare(a.unit.ID, b.unit.ID))
-	})
-	var plan Plan
-	hired := map[Option]int{}
-	total := len(in.Units)
-	perZone := map[wire.Zone]int{}
-	for i := range in.Units {
-		perZone[in.Units[i].Zone]++
-	}
-	extra := map[wire.Team]ledger.Resources{}
-	// Machines without room for a task of any job are not looked at for each.
-	least, latest := in.least()
-	full := func(s *slot) bool { return !s.unit.room(latest).Fits(least) }
-	open := slices.DeleteFunc(slices.Clone(slots), full)
+	p := newPacker(in)
 	for i := range in.Queue {
-		j := in.Queue[i].Job
-		if in.Queue[i].Suspect {
-			continue // nothing is rented for what fails everywhere
-		}
-		left := in.TeamRoom(j, extra[j.Spec.Team], j.Pending())
-		if left <= 0 || in.Now.Before(in.Queue[i].Retry) {
-			continue
-		}
-		extra[j.Spec.Team] = extra[j.Spec.Team].Add(j.Need, left)
-		var zone wire.Zone // the one zone of a job that must stay together
-		if j.Spec.OneZone {
-			j.Claims(func(c ledger.Claim) bool { zone = c.Zone; return false })
-		}
-		e := &in.Queue[i]
-		// A machine rented now is up a boot time from now. For work with time
-		// for one more boot after that, what is free by then does as well. With
-		// less, forecasts that keep being wrong would let it wait for ever.
-		by, pressing := in.Now, true
-		if boot := in.boot(j); e.StartBy.After(by.Add(2 * boot)) {
-			by, pressing = by.Add(boot), false
-		}
-		until := by.Add(e.Expected)
-		put := map[wire.Zone]int{} // tasks of the job by this plan
-		fits := func(s *slot) int {
-			u := &s.unit
-			if !ledger.Allowed(j.Spec, u.Type, u.Zone, u.Spot) || e.Steady && u.Spot || e.Plain && u.Total.GPU > 0 || zone != "" && u.Zone != zone {
-				return 0
-			}
-			// One fetch at a time: a machine that has to fetch another image
-			// first is of no use to work that can't wait.
-			if pressing && !u.caches(j.Spec.Image) && u.Fetching != "" && u.Fetching != j.Spec.Image {
-				return 0
-			}
-			n := u.room(by).Times(j.Need, left)
-			if j.Spec.Spread {
-				n = max(0, min(n, j.ZoneRoom(u.Zone)-put[u.Zone]))
-			}
-			return n
-		}
-		filled := false
-		use := func(s *slot, n int) {
-			s.unit.take(j.Need, n, until)
-			s.used = true
-			if !s.unit.caches(j.Spec.Image) {
-				s.unit.Fetching = j.Spec.Image
-			}
-			left -= n
-			put[s.unit.Zone] += n
-			filled = filled || full(s)
-		}
-		// The one zone of a gang that is only wanted close gives way where nothing is to
-		// be had, or only for more money than elsewhere.
-		near := in.Close && j.Together() > 1 && !j.Spec.OneZone && !j.Spec.Spread
-		if near {
-			zone = roomiest(open, fits)
-		}
-		taken := map[*slot]bool{}
-		fill := func() {
-			for _, s := range open {
-				if left == 0 {
-					break
-				}
-				in.Looked++
-				if n := fits(s); n > 0 && !taken[s] {
-					use(s, n)
-					taken[s] = true
-					if j.Spec.OneZone {
-						zone = s.unit.Zone
-					}
-				}
-			}
-		}
-		fill()
-		for left > 0 && (in.Most == 0 || total < in.Most) {
-			o, price, ok := cheapest(in, e, zone, put, perZone)
-			if near && zone != "" {
-				if _, elsewhere, found := cheapest(in, e, "", put, perZone); found && (!ok || elsewhere < price) {
-					near, zone = false, ""
-					fill()
-					continue
-				}
-			}
-			if !ok {
-				break
-			}
-			f := in.Flavors[o.Type]
-			s := &slot{unit: Unit{Type: o.Type, Zone: o.Zone, Spot: o.Spot,
-				Total: ledger.NewResources(f.CPUs, f.GPUs, f.MemoryGB)}, used: true, new: true}
-			n := fits(s)
-			if n == 0 {
-				break
-			}
-			use(s, n)
-			slots, open = append(slots, s), append(open, s)
-			hired[o]++
-			perZone[o.Zone]++
-			total++
-			if j.Spec.OneZone || near {
-				zone = o.Zone
-			}
-		}
-		if filled {
-			open = slices.DeleteFunc(open, full)
-		}
+		p.place(&in.Queue[i])
 	}
 	left := in.left()
+	p.rentAhead(left)
+	return Plan{Hire: p.needs(), Drain: p.drains(left)}
+}
+
+// rentAhead rents the machines with accelerators that are to be left idle beyond those there are.
+func (p *packer) rentAhead(left map[Option]int) {
 	for _, k := range slices.SortedFunc(maps.Keys(left), func(a, b Option) int { return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone)) }) {
-		for n := in.missing(k, left[k], slots); n > 0 && (in.Most == 0 || total < in.Most); n-- {
-			hired[k]++
-			total++
+		for n := p.in.missing(k, left[k], p.slots); n > 0 && p.mayRent(); n-- {
+			p.rented(k)
 		}
 	}
-	for o, n := range hired {
-		plan.Hire = append(plan.Hire, Need{o, n})
+}
+
+// needs lists what is to be rented, the most of a kind first.
+func (p *packer) needs() (out []Need) {
+	for o, n := range p.hired {
+		out = append(out, Need{o, n})
 	}
-	slices.SortFunc(plan.Hire, func(a, b Need) int {
+	slices.SortFunc(out, func(a, b Need) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone))
 	})
-	spare := int(in.Headroom * float64(inUse))
-	var idle []Unit
-	for _, s := range slots {
-		if !s.new && !s.used && !s.unit.Booting && !s.unit.IdleSince.IsZero() {
-			idle = append(idle, s.unit)
-		}
-	}
-	// The dearest idle machines go first, and those idle for the longest.
-	slices.SortFunc(idle, func(a, b Unit) int {
-		return cmp.Or(cmp.Compare(in.price(b.option()), in.price(a.option())), a.IdleSince.Compare(b.IdleSince))
-	})
-	for _, u := range idle[:max(0, len(idle)-spare)] {
-		f := in.Flavors[u.Type]
+	return out
+}
+
+// drains lists the idle machines that are to be given back: the dearest first, and those idle for the
+// longest, but for what is left idle. left is changed.
+func (p *packer) drains(left map[Option]int) (out []wire.MachineID) {
+	in := p.in
+	idle := p.idle()
+	for _, u := range idle[:max(0, len(idle)-in.spare())] {
 		if k := (Option{Type: u.Type, Zone: u.Zone}); left[k] > 0 {
 			left[k]--
 			continue
 		}
-		keep := in.IdleBoots * float64(f.Boot.Duration())
-		if p := in.price(u.option()); p > 0 && f.Price > p {
-			keep *= f.Price / p // a cheap machine is worth keeping, with its cache, for longer
+		if in.Now.Sub(u.IdleSince) > in.keepIdle(&u) {
+			out = append(out, u.ID)
 		}
-		if in.Now.Sub(u.IdleSince) > time.Duration(keep) {
-			plan.Drain = append(plan.Drain, u.ID)
+	}
+	return out
+}
+
+// idle lists the machines that are idle and of no use to the plan, in the order in which they go.
+func (p *packer) idle() (out []Unit) {
+	for _, s := range p.slots {
+		if !s.new && !s.used && !s.unit.Booting && !s.unit.IdleSince.IsZero() {
+			out = append(out, s.unit)
 		}
 	}
-	return plan
+	slices.SortFunc(out, func(a, b Unit) int {
+		return cmp.Or(cmp.Compare(p.in.price(b.option()), p.in.price(a.option())), a.IdleSince.Compare(b.IdleSince))
+	})
+	return out
+}
+
+// spare is how many idle machines are kept as a share of those in use.
+func (in *Input) spare() int {
+	inUse := 0
+	for i := range in.Units {
+		if u := &in.Units[i]; u.IdleSince.IsZero() && !u.Booting {
+			inUse++
+		}
+	}
+	return int(in.Headroom * float64(inUse))
+}
+
+// keepIdle is how long a machine may be idle: a cheap one, with its cache, for longer.
+func (in *Input) keepIdle(u *Unit) time.Duration {
+	f := in.Flavors[u.Type]
+	keep := in.IdleBoots * float64(f.Boot.Duration())
+	if p := in.price(u.option()); p > 0 && f.Price > p {
+		keep *= f.Price / p
+	}
+	return time.Duration(keep)
 }
 
 // left is how many idle machines with accelerators, of each type in each zone, are kept for work
