--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -14,10 +14,10 @@
 	"sync/atomic"
 	"time"
 
-	"maddermill/internal/desk"
-	"maddermill/internal/duty"
 	"maddermill/internal/http1"
+	"maddermill/internal/server"
 	"maddermill/internal/state"
+	"maddermill/internal/supervise"
 	"maddermill/internal/transport"
 	"maddermill/wire"
 )
@@ -31,7 +31,7 @@
 
 // Workers is the service as workers' reports see it.
 type Workers interface {
-	Report(ctx context.Context, r *wire.Report) desk.ReportAnswer
+	Report(ctx context.Context, r *wire.Report) server.ReportAnswer
 }
 
 // View is what is told of the controller itself.
@@ -48,7 +48,7 @@
 	Workflows  Workflows
 	View       View
 	Metrics    func() []byte
-	Duties     func(time.Time) []duty.Status
+	Duties     func(time.Time) []supervise.Status
 	RetryAfter time.Duration
 	MaxUsers   int               // users' connections; the rest is kept for workers
 	MaxBusy    int               // users' requests at once, half of them polls
@@ -305,9 +305,9 @@
 
 func (s *Server) failure(id wire.JobID, err error) *http1.Response {
 	switch {
-	case errors.Is(err, desk.ErrNoSuchJob):
+	case errors.Is(err, server.ErrNoSuchJob):
 		return problem(404, "no such job")
-	case errors.Is(err, desk.ErrNeverRuns):
+	case errors.Is(err, server.ErrNeverRuns):
 		return problem(422, strings.ReplaceAll(err.Error(), "\n", ": "))
 	case errors.Is(err, state.ErrNoReach):
 	default:
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"maddermill/internal/api"
-	"maddermill/internal/desk"
-	"maddermill/internal/duty"
-	"maddermill/internal/flows"
 	"maddermill/internal/http1"
+	"maddermill/internal/server"
 	"maddermill/internal/state"
+	"maddermill/internal/supervise"
 	"maddermill/internal/transport"
+	"maddermill/internal/workflowrunner"
 	"maddermill/wire"
 )
 
@@ -30,7 +30,7 @@
 
 func (service) Submit(_ context.Context, s *wire.JobSpec) (wire.JobStatus, bool, error) {
 	if s.Team == "nobody" {
-		return wire.JobStatus{}, false, errors.Join(desk.ErrNeverRuns, errors.New("unknown team"))
+		return wire.JobStatus{}, false, errors.Join(server.ErrNeverRuns, errors.New("unknown team"))
 	}
 	return wire.JobStatus{ID: s.ID, Status: wire.Queued}, true, nil
 }
@@ -44,13 +44,13 @@
 	case "wk-000002":
 		return wire.JobStatus{}, state.ErrNoReach
 	}
-	return wire.JobStatus{}, desk.ErrNoSuchJob
+	return wire.JobStatus{}, server.ErrNoSuchJob
 }
 func (s service) Cancel(ctx context.Context, id wire.JobID) (wire.JobStatus, error) {
 	return s.Status(ctx, id)
 }
-func (service) Report(context.Context, *wire.Report) desk.ReportAnswer {
-	return desk.ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: 3, Commands: []wire.Command{}}}
+func (service) Report(context.Context, *wire.Report) server.ReportAnswer {
+	return server.ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: 3, Commands: []wire.Command{}}}
 }
 func (service) Healthy() bool                        { return true }
 func (service) Judgements() ([]wire.Judgement, bool) { return nil, true }
@@ -59,7 +59,7 @@
 }
 func (workflows) Status(_ context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
 	if id != "wf-000001" {
-		return wire.WorkflowStatus{}, desk.ErrNoSuchJob
+		return wire.WorkflowStatus{}, server.ErrNoSuchJob
 	}
 	return wire.WorkflowStatus{ID: id, Status: wire.Done}, nil
 }
@@ -67,7 +67,7 @@
 	return s.Status(ctx, id)
 }
 func (workflows) Resume(context.Context, wire.WorkflowID) (wire.WorkflowStatus, error) {
-	return wire.WorkflowStatus{}, flows.ErrNotFailed
+	return wire.WorkflowStatus{}, workflowrunner.ErrNotFailed
 }
 func (service) Topology(time.Time) (wire.TopologyView, bool) {
 	return wire.TopologyView{Blocks: []wire.BlockView{{Path: "a", Level: "zone"}}, Gangs: []wire.GangView{{Job: "wk-000001"}}}, true
@@ -84,7 +84,7 @@
 	l.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	shed := make(chan string, 100)
-	server := &api.Server{Users: service{}, Workers: service{}, Workflows: workflows{}, View: service{}, Duties: new(duty.Group).Status, Metrics: func() []byte { return []byte("x 1\n") }, RetryAfter: time.Second,
+	server := &api.Server{Users: service{}, Workers: service{}, Workflows: workflows{}, View: service{}, Duties: new(supervise.Group).Status, Metrics: func() []byte { return []byte("x 1\n") }, RetryAfter: time.Second,
 		MaxUsers: 100, MaxBusy: 10, Shed: func(kind string) { shed <- kind }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	served := make(chan error, 1)
 	go func() { served <- transport.Serve(ctx, addr, 50, server.Serve) }()
--- a/internal/api/workflows.go
+++ b/internal/api/workflows.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"maddermill/internal/cwl"
-	"maddermill/internal/desk"
-	"maddermill/internal/flows"
 	"maddermill/internal/http1"
+	"maddermill/internal/server"
 	"maddermill/internal/transport"
 	"maddermill/internal/workflow"
+	"maddermill/internal/workflowrunner"
 	"maddermill/wire"
 )
 
@@ -158,11 +158,11 @@
 func (s *Server) workflowFailure(err error) *http1.Response {
 	var problems cwl.Problems
 	switch {
-	case errors.Is(err, flows.ErrNoWorkflows):
+	case errors.Is(err, workflowrunner.ErrNoWorkflows):
 		return problem(404, err.Error())
-	case errors.Is(err, flows.ErrNotFailed):
+	case errors.Is(err, workflowrunner.ErrNotFailed):
 		return problem(409, err.Error())
-	case errors.Is(err, desk.ErrNoSuchJob):
+	case errors.Is(err, server.ErrNoSuchJob):
 		return problem(404, "no such workflow")
 	case errors.As(err, &problems):
 		return problem(400, wrong(err))
--- a/internal/past/past.go
+++ b/internal/archiver/archiver.go
@@ -1,8 +1,8 @@
-// Package past is the part of a controller that keeps work that is over out of the way: it
+// Package archiver is the part of a controller that keeps work that is over out of the way: it
 // tells of archived jobs and workflows, and at the fleet's leader moves jobs, workflows and
 // machines out of the records that all controllers mirror (docs/history.md). It reaches the
 // rest of the controller through Host alone.
-package past
+package archiver
 
 import (
 	"cmp"
--- a/internal/declared/declared.go
+++ b/internal/configfile/configfile.go
@@ -1,7 +1,7 @@
-// Package declared is for files in which operators declare things, in protobuf text format: where
+// Package configfile is for files in which operators declare things, in protobuf text format: where
 // a field stands, so that mistakes can be told with their line, errors that name the file, and
 // reading a file again when it changes.
-package declared
+package configfile
 
 import (
 	"context"
--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
+	"maddermill/internal/server"
 	"maddermill/wire"
 )
 
@@ -59,7 +59,7 @@
 	one, cancel := context.WithTimeout(ctx, 5*time.Second)
 	st, err := r(one, c)
 	cancel()
-	if h.core(at) != c || ctx.Err() != nil || h.links[at].Frozen() > 0 || err != nil && !errors.Is(err, desk.ErrNoSuchJob) {
+	if h.core(at) != c || ctx.Err() != nil || h.links[at].Frozen() > 0 || err != nil && !errors.Is(err, server.ErrNoSuchJob) {
 		return "", false
 	}
 	got := st.Status
--- a/internal/controller/archive_test.go
+++ b/internal/controller/archive_test.go
@@ -17,8 +17,8 @@
 
 	"maddermill/internal/archive"
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
 	"maddermill/internal/ledger"
+	"maddermill/internal/server"
 	"maddermill/internal/state"
 	"maddermill/wire"
 )
@@ -209,7 +209,7 @@
 		}
 		s.gets = 0
 		for i := range 3000 {
-			if st, err := poll(wire.JobID(fmt.Sprintf("wk-%08d", 50_000_000+i))); !errors.Is(err, desk.ErrNoSuchJob) {
+			if st, err := poll(wire.JobID(fmt.Sprintf("wk-%08d", 50_000_000+i))); !errors.Is(err, server.ErrNoSuchJob) {
 				t.Fatalf("%+v, %v", st, err)
 			}
 		}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -8,26 +8,26 @@
 	"math"
 	"time"
 
+	"maddermill/internal/archiver"
 	"maddermill/internal/completion"
-	"maddermill/internal/desk"
-	"maddermill/internal/duty"
 	"maddermill/internal/evidence"
-	"maddermill/internal/flows"
-	"maddermill/internal/lead"
+	"maddermill/internal/leader"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
 	"maddermill/internal/mesh"
 	"maddermill/internal/metrics"
 	"maddermill/internal/mirror"
-	"maddermill/internal/past"
 	"maddermill/internal/places"
 	"maddermill/internal/plugin"
 	"maddermill/internal/policies"
 	"maddermill/internal/promises"
 	"maddermill/internal/schedule"
+	"maddermill/internal/server"
 	"maddermill/internal/settings"
 	"maddermill/internal/state"
+	"maddermill/internal/supervise"
 	"maddermill/internal/workers"
+	"maddermill/internal/workflowrunner"
 	"maddermill/internal/writer"
 	"maddermill/policy"
 	"maddermill/wire"
@@ -37,10 +37,10 @@
 // reports after a restart.
 type Core struct {
 	Stats     *metrics.Set
-	Duties    duty.Group
-	Users     *desk.Users
-	Workers   *desk.Workers
-	Workflows *flows.Flows
+	Duties    supervise.Group
+	Users     *server.Users
+	Workers   *server.Workers
+	Workflows *workflowrunner.Flows
 	Places    *places.Places
 
 	set      *settings.Settings
@@ -56,8 +56,8 @@
 	told     *completion.Exchange
 	recorder *workers.Recorder
 	schedule *schedule.Scheduler
-	lead     *lead.Lead
-	past     *past.Keeper
+	lead     *leader.Lead
+	past     *archiver.Keeper
 	policies *policies.Keeper
 	Promises *promises.Promises
 }
@@ -65,7 +65,7 @@
 // New returns a controller that hasn't read anything yet.
 func New(set *settings.Settings, store state.Store, log *slog.Logger) *Core {
 	c := &Core{set: set, store: store, log: log, Stats: metrics.New(), boot: time.Now()}
-	svc, count, reads := set.Cluster.State, float64(set.Cluster.Count), past.Reads(set.Operators.FormatUpTo)
+	svc, count, reads := set.Cluster.State, float64(set.Cluster.Count), archiver.Reads(set.Operators.FormatUpTo)
 	c.mirror = mirror.New(mirror.Options{Member: set.Member, Limits: Limits(set), Requests: svc.RPS / count, Reads: reads}, store, follower{c}, c.Stats, log)
 	c.writer = writer.New(writer.Options{Changes: svc.WriteRPS / count, TxnOps: svc.TxnOps}, c.mirror, store, c.Stats, log)
 	c.members = members.New(membersOptions(set), c.Stats, log)
@@ -78,14 +78,14 @@
 	c.roster = workers.NewRoster(c.members, c.done)
 	c.recorder = workers.NewRecorder(c.done, c.mirror, c.writer, Limits(set), c.Stats, log)
 	c.policies = policies.New(host{c}, store, set.Member, c.Stats, log)
-	c.past = past.New(host{c}, store, pastOptions(set), c.Stats, log)
+	c.past = archiver.New(host{c}, store, pastOptions(set), c.Stats, log)
 	c.Places = places.New(set, c.mirror, c.members, c.roster, c.book, func() { c.schedule.Renew() }, c.Stats, log)
 	c.Promises = promises.New(set, promises.Parts{Mirror: c.mirror, Writer: c.writer, Book: c.book, Members: c.members, Roster: c.roster}, c.Stats, log)
 	c.schedule = schedule.New(set, schedule.Parts{Mirror: c.mirror, Members: c.members, Roster: c.roster, Book: c.book, Places: c.Places, Policies: c.policies, Promises: c.Promises}, c.Stats, log)
-	c.Workers = desk.NewWorkers(set, desk.WorkersParts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Places: c.Places, Schedule: c.schedule, Completed: c.done, Exchange: c.told}, c.Stats, log)
-	c.Users = desk.NewUsers(set, desk.UsersParts{Mirror: c.mirror, Writer: c.writer, Policies: c.policies, Past: c.past, Promises: c.Promises}, c.Stats, log)
-	c.lead = lead.New(set, store, lead.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Schedule: c.schedule, Policies: c.policies, Completed: c.done}, c.Stats, log)
-	c.Workflows = flows.New(set, store, flows.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Book: c.book, Schedule: c.schedule, Users: c.Users, Past: c.past, Promises: c.Promises}, c.Stats, log)
+	c.Workers = server.NewWorkers(set, server.WorkersParts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Places: c.Places, Schedule: c.schedule, Completed: c.done, Exchange: c.told}, c.Stats, log)
+	c.Users = server.NewUsers(set, server.UsersParts{Mirror: c.mirror, Writer: c.writer, Policies: c.policies, Past: c.past, Promises: c.Promises}, c.Stats, log)
+	c.lead = leader.New(set, store, leader.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Schedule: c.schedule, Policies: c.policies, Completed: c.done}, c.Stats, log)
+	c.Workflows = workflowrunner.New(set, store, workflowrunner.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Book: c.book, Schedule: c.schedule, Users: c.Users, Past: c.past, Promises: c.Promises}, c.Stats, log)
 	c.gauges()
 	return c
 }
@@ -115,9 +115,9 @@
 	return o
 }
 
-func pastOptions(set *settings.Settings) past.Options {
+func pastOptions(set *settings.Settings) archiver.Options {
 	o, s := set.Operators, set.Cluster.State
-	return past.Options{Archive: o.Archive, Kept: o.KeptJobs, Settle: o.Settle, FormatUpTo: o.FormatUpTo, TxnOps: s.TxnOps,
+	return archiver.Options{Archive: o.Archive, Kept: o.KeptJobs, Settle: o.Settle, FormatUpTo: o.FormatUpTo, TxnOps: s.TxnOps,
 		Requests: s.RPS / float64(set.Cluster.Count), Changes: s.WriteRPS}
 }
 
@@ -279,7 +279,7 @@
 	defer c.mirror.Unlock()
 	led, now := c.mirror.Records(), time.Now()
 	s := mesh.Status{Version: mesh.Version, Member: c.set.Member, Boot: c.boot.UnixMilli(), Revision: led.Revision(),
-		Cancelled: led.LastCancel(), ContactMS: math.MaxInt32, Loaded: c.mirror.Loaded(), Reads: past.Reads(c.set.Operators.FormatUpTo)}
+		Cancelled: led.LastCancel(), ContactMS: math.MaxInt32, Loaded: c.mirror.Loaded(), Reads: archiver.Reads(c.set.Operators.FormatUpTo)}
 	if contact := c.mirror.Contact(); !contact.IsZero() {
 		s.ContactMS = now.Sub(contact).Milliseconds()
 	}
--- a/internal/controller/floods_test.go
+++ b/internal/controller/floods_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"maddermill/internal/desk"
 	"maddermill/internal/ledger"
+	"maddermill/internal/server"
 	"maddermill/internal/standin"
 	"maddermill/wire"
 )
@@ -93,7 +93,7 @@
 					all.Go(func() {
 						one, done := context.WithTimeout(ctx, 1900*time.Millisecond)
 						defer done()
-						if _, err := c.Users.Status(one, id(i)); (i < jobs) != (err == nil) || i >= jobs && !errors.Is(err, desk.ErrNoSuchJob) {
+						if _, err := c.Users.Status(one, id(i)); (i < jobs) != (err == nil) || i >= jobs && !errors.Is(err, server.ErrNoSuchJob) {
 							t.Errorf("%s: %v", id(i), err)
 						}
 					})
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -17,13 +17,13 @@
 	"time"
 
 	"maddermill/internal/archive"
+	"maddermill/internal/archiver"
 	"maddermill/internal/clock"
 	"maddermill/internal/data"
-	"maddermill/internal/desk"
 	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
 	"maddermill/internal/parttest"
-	"maddermill/internal/past"
+	"maddermill/internal/server"
 	"maddermill/internal/settings"
 	"maddermill/internal/standin"
 	"maddermill/internal/topology"
@@ -142,7 +142,7 @@
 	if h.past {
 		opt := pastOptions(c.set)
 		opt.Kept, opt.SweepAfter, opt.Settle = 0, 1, h.settle()
-		c.past = past.New(host{c}, c.store, opt, c.Stats, c.log)
+		c.past = archiver.New(host{c}, c.store, opt, c.Stats, c.log)
 	}
 	if h.data != nil {
 		c.Workflows.Set(h.data)
@@ -476,7 +476,7 @@
 			if err == nil {
 				return got, true
 			}
-			if errors.Is(err, desk.ErrNoSuchJob) {
+			if errors.Is(err, server.ErrNoSuchJob) {
 				h.t.Errorf("seed %d: forgotten %s", h.seed, about)
 			}
 		}
--- a/internal/controller/meeting_table_test.go
+++ b/internal/controller/meeting_table_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
+	"maddermill/internal/server"
 	"maddermill/internal/settings"
 	"maddermill/wire"
 )
@@ -267,7 +267,7 @@
 			if _, err := c.Users.Status(ctx, spec.ID); err == nil {
 				m.t.Errorf("%s is known", spec.ID)
 			}
-			if _, err := c.Users.Cancel(ctx, spec.ID); err == nil || errors.Is(err, desk.ErrNeverRuns) {
+			if _, err := c.Users.Cancel(ctx, spec.ID); err == nil || errors.Is(err, server.ErrNeverRuns) {
 				m.t.Errorf("%s can be cancelled: %v", spec.ID, err)
 			}
 		}
--- a/internal/controller/policies_test.go
+++ b/internal/controller/policies_test.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
 	"maddermill/internal/ledger"
 	"maddermill/internal/plugin"
 	"maddermill/internal/plugin/plugintest"
 	"maddermill/internal/policies"
+	"maddermill/internal/server"
 	"maddermill/internal/state"
 	"maddermill/policy"
 	"maddermill/wire"
@@ -219,7 +219,7 @@
 			if st, created, err := h.core(i).Users.Submit(ctx, early); err != nil || created {
 				t.Errorf("accepted before: %+v, %v, %v", st, created, err)
 			}
-			if _, _, err := h.core(i).Users.Submit(ctx, h.spec(100+i)); !errors.Is(err, desk.ErrNeverRuns) {
+			if _, _, err := h.core(i).Users.Submit(ctx, h.spec(100+i)); !errors.Is(err, server.ErrNeverRuns) {
 				t.Errorf("new: %v", err)
 			}
 		}
--- a/internal/controller/returns_test.go
+++ b/internal/controller/returns_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
+	"maddermill/internal/server"
 	"maddermill/internal/standin"
 	"maddermill/wire"
 )
@@ -122,7 +122,7 @@
 			}
 		}
 		now := time.Now()
-		if errors.Is(err, desk.ErrNoSuchJob) && submitted {
+		if errors.Is(err, server.ErrNoSuchJob) && submitted {
 			r.t.Errorf("seed %d: forgotten %s", r.seed, spec.ID)
 		}
 		r.seen.Lock()
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -5,23 +5,23 @@
 	"fmt"
 	"time"
 
-	"maddermill/internal/duty"
-	"maddermill/internal/lead"
+	"maddermill/internal/leader"
 	"maddermill/internal/ledger"
 	"maddermill/internal/mesh"
+	"maddermill/internal/supervise"
 	"maddermill/internal/transport"
 )
 
 // Run carries out the controller's duties until ctx ends or one of them fails.
-func (c *Core) Run(ctx context.Context, dialer *transport.Dialer, cl lead.Cloud) error {
+func (c *Core) Run(ctx context.Context, dialer *transport.Dialer, cl leader.Cloud) error {
 	c.register(cl)
-	c.Duties.Add(duty.Duty{Name: "mesh", Run: func(ctx context.Context) error {
+	c.Duties.Add(supervise.Duty{Name: "mesh", Run: func(ctx context.Context) error {
 		return transport.Serve(ctx, c.set.MeshAddr, 8*len(c.set.Peers)+16, func(_ context.Context, conn *transport.Conn) {
 			mesh.Serve(conn, c.statusFor)
 		})
 	}})
 	for _, p := range c.set.Peers {
-		c.Duties.Add(duty.Duty{Name: "peer " + string(p.Member), Run: func(ctx context.Context) error {
+		c.Duties.Add(supervise.Duty{Name: "peer " + string(p.Member), Run: func(ctx context.Context) error {
 			mesh.Ask(ctx, dialer, p.Addr, func() mesh.Status { return c.questionTo(p.Member) }, time.Second, c.heardPeer)
 			return ctx.Err()
 		}, Amiss: func(now time.Time) string {
@@ -42,10 +42,10 @@
 const longSilent = 10 * time.Second
 
 // register adds the duties that need no network of their own.
-func (c *Core) register(cl lead.Cloud) {
+func (c *Core) register(cl leader.Cloud) {
 	c.Duties.Add(
-		duty.Duty{Name: "attention", Run: c.members.Attend},
-		duty.Duty{Name: "mirror", Run: c.mirror.Watch, Amiss: func(time.Time) (why string) {
+		supervise.Duty{Name: "attention", Run: c.members.Attend},
+		supervise.Duty{Name: "mirror", Run: c.mirror.Watch, Amiss: func(time.Time) (why string) {
 			c.mirror.Read(func(*ledger.Ledger) {
 				if !c.mirror.Loaded() {
 					why = "the records are yet to be read"
@@ -53,7 +53,7 @@
 			})
 			return why
 		}},
-		duty.Duty{Name: "contact", Run: c.mirror.ReadBarriers, Amiss: func(now time.Time) (why string) {
+		supervise.Duty{Name: "contact", Run: c.mirror.ReadBarriers, Amiss: func(now time.Time) (why string) {
 			c.mirror.Read(func(*ledger.Ledger) {
 				if contact := c.mirror.Contact(); contact.IsZero() {
 					why = "the state service was never reached"
@@ -63,7 +63,7 @@
 			})
 			return why
 		}},
-		duty.Duty{Name: "tokens", Run: c.mirror.TakeTokens, Amiss: func(time.Time) (why string) {
+		supervise.Duty{Name: "tokens", Run: c.mirror.TakeTokens, Amiss: func(time.Time) (why string) {
 			c.mirror.Read(func(*ledger.Ledger) {
 				if c.mirror.Token() == 0 {
 					why = "no token is taken yet"
@@ -71,17 +71,17 @@
 			})
 			return why
 		}},
-		duty.Duty{Name: "writer", Run: c.writer.Run, Amiss: c.writer.Amiss},
-		duty.Duty{Name: "completions", Run: c.recorder.Run},
-		duty.Duty{Name: "sweeper", Run: c.Workers.Sweep},
-		duty.Duty{Name: "publisher", Run: func(ctx context.Context) error { return c.members.Publish(ctx, c.store, c.published) }},
-		duty.Duty{Name: "reader of publications", Run: func(ctx context.Context) error { return c.members.ReadPublished(ctx, c.mirror) }},
-		duty.Duty{Name: "preemption", Run: c.schedule.Preempt},
-		duty.Duty{Name: "places", Run: c.Places.Watch},
-		duty.Duty{Name: "workflows", Run: c.Workflows.Run},
-		duty.Duty{Name: "archive", Run: c.past.Run},
-		duty.Duty{Name: "promises", Run: c.Promises.Run},
-		duty.Duty{Name: "policies", Run: c.policies.Run, Amiss: func(now time.Time) (why string) {
+		supervise.Duty{Name: "writer", Run: c.writer.Run, Amiss: c.writer.Amiss},
+		supervise.Duty{Name: "completions", Run: c.recorder.Run},
+		supervise.Duty{Name: "sweeper", Run: c.Workers.Sweep},
+		supervise.Duty{Name: "publisher", Run: func(ctx context.Context) error { return c.members.Publish(ctx, c.store, c.published) }},
+		supervise.Duty{Name: "reader of publications", Run: func(ctx context.Context) error { return c.members.ReadPublished(ctx, c.mirror) }},
+		supervise.Duty{Name: "preemption", Run: c.schedule.Preempt},
+		supervise.Duty{Name: "places", Run: c.Places.Watch},
+		supervise.Duty{Name: "workflows", Run: c.Workflows.Run},
+		supervise.Duty{Name: "archive", Run: c.past.Run},
+		supervise.Duty{Name: "promises", Run: c.Promises.Run},
+		supervise.Duty{Name: "policies", Run: c.policies.Run, Amiss: func(now time.Time) (why string) {
 			c.mirror.Read(func(l *ledger.Ledger) {
 				if c.policies.Suspended(l, now) {
 					why = "the module in use is suspended"
@@ -89,7 +89,7 @@
 			})
 			return why
 		}},
-		duty.Duty{Name: "leader", Run: func(ctx context.Context) error { return c.lead.Run(ctx, cl) }},
+		supervise.Duty{Name: "leader", Run: func(ctx context.Context) error { return c.lead.Run(ctx, cl) }},
 	)
 }
 
--- a/internal/lead/lead.go
+++ b/internal/leader/leader.go
@@ -1,8 +1,8 @@
-// Package lead is the part of a controller that leads the fleet while it holds the leader's
+// Package leader is the part of a controller that leads the fleet while it holds the leader's
 // lease: it rents and returns machines, marks those that are lost, and places gangs over all
 // machines (docs/DESIGN.md, points 5 and 8). One controller leads at a time; a term that has
 // ended changes nothing any more, since what it writes is conditioned on its record.
-package lead
+package leader
 
 import (
 	"context"
--- a/internal/lead/returns.go
+++ b/internal/leader/returns.go
@@ -1,4 +1,4 @@
-package lead
+package leader
 
 import (
 	"context"
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/declared"
+	"maddermill/internal/configfile"
 	"maddermill/internal/evidence"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
@@ -103,7 +103,7 @@
 // Reread reads the topology's file again when it changes, or when told to by again,
 // until ctx ends. A file that is wrong, or gone, leaves what was read last in force.
 func (p *Places) Reread(ctx context.Context, path string, again <-chan os.Signal) error {
-	return declared.Follow(ctx, path, again, func() {
+	return configfile.Follow(ctx, path, again, func() {
 		t, err := Read(path, p.set.Cluster.Zones)
 		if err != nil {
 			p.stats.Add("topology_reloads_failed_total", 1)
@@ -280,7 +280,7 @@
 
 // Read reads and checks a topology's file. An error names file, line and reason.
 func Read(path string, zones []wire.Zone) (*topology.Tree, error) {
-	return declared.Read(path, func(b []byte) (*topology.Tree, error) { return topology.Parse(b, zones) })
+	return configfile.Read(path, func(b []byte) (*topology.Tree, error) { return topology.Parse(b, zones) })
 }
 
 // Topology tells of the declared topology, its machines and the gangs on them, as this
--- a/internal/promise/register.go
+++ b/internal/promise/register.go
@@ -14,7 +14,7 @@
 	"github.com/protocolbuffers/txtpbfmt/parser"
 	"google.golang.org/protobuf/encoding/prototext"
 
-	"maddermill/internal/declared"
+	"maddermill/internal/configfile"
 	"maddermill/internal/promise/promisepb"
 	"maddermill/wire"
 )
@@ -68,7 +68,7 @@
 		byFlow: map[wire.WorkflowID]*Entry{}, byClass: map[classOf][]*Entry{}}
 	var errs []error
 	fail := func(n *ast.Node, field, format string, args ...any) {
-		errs = append(errs, declared.Wrong(n, field, format, args...))
+		errs = append(errs, configfile.Wrong(n, field, format, args...))
 	}
 	if m.Revision == nil || m.GetRevision() == 0 {
 		fail(nil, "revision", "must be given, above 0")
@@ -81,7 +81,7 @@
 	if len(m.Gallery) > mostGalleries {
 		fail(nil, "gallery", "%d of them; %d at most", len(m.Gallery), mostGalleries)
 	}
-	at := declared.Fields(nodes, "gallery")
+	at := configfile.Fields(nodes, "gallery")
 	r.Entries = make([]Entry, len(m.Gallery))
 	for i, g := range m.Gallery {
 		var n *ast.Node
--- a/internal/promises/promises.go
+++ b/internal/promises/promises.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/declared"
+	"maddermill/internal/configfile"
 	"maddermill/internal/evidence"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
@@ -86,13 +86,13 @@
 			teams = append(teams, t.Name)
 		}
 	}
-	return declared.Read(path, func(b []byte) (*promise.Register, error) { return promise.Parse(b, teams) })
+	return configfile.Read(path, func(b []byte) (*promise.Register, error) { return promise.Parse(b, teams) })
 }
 
 // Reread reads the register's file again when it changes, until ctx ends. A file that is wrong, or
 // gone, leaves what was read last in force.
 func (p *Promises) Reread(ctx context.Context, path string) error {
-	return declared.Follow(ctx, path, nil, func() {
+	return configfile.Follow(ctx, path, nil, func() {
 		r, err := Read(path, p.set)
 		if err != nil {
 			p.stats.Add("registers_refused_total", 1)
--- a/internal/desk/spread_test.go
+++ b/internal/server/spread_test.go
@@ -1,4 +1,4 @@
-package desk
+package server
 
 import (
 	"fmt"
--- a/internal/desk/users.go
+++ b/internal/server/users.go
@@ -1,4 +1,4 @@
-package desk
+package server
 
 import (
 	"context"
@@ -6,10 +6,10 @@
 	"log/slog"
 	"time"
 
+	"maddermill/internal/archiver"
 	"maddermill/internal/ledger"
 	"maddermill/internal/metrics"
 	"maddermill/internal/mirror"
-	"maddermill/internal/past"
 	"maddermill/internal/place"
 	"maddermill/internal/policies"
 	"maddermill/internal/promises"
@@ -27,16 +27,16 @@
 	ErrNeverRuns = errors.New("can never run")
 )
 
-// UsersParts are what the users' desk works with.
+// UsersParts are what the server of users works with.
 type UsersParts struct {
 	Mirror   *mirror.Mirror
 	Writer   *writer.Writer
 	Policies *policies.Keeper
-	Past     *past.Keeper
+	Past     *archiver.Keeper
 	Promises *promises.Promises
 }
 
-// Users is the users' desk.
+// Users serves users' requests.
 type Users struct {
 	set *settings.Settings
 	UsersParts
@@ -44,7 +44,7 @@
 	log   *slog.Logger
 }
 
-// NewUsers returns a users' desk.
+// NewUsers returns a server of users' requests.
 func NewUsers(set *settings.Settings, p UsersParts, stats *metrics.Set, log *slog.Logger) *Users {
 	return &Users{set: set, UsersParts: p, stats: stats, log: log}
 }
@@ -264,7 +264,7 @@
 func (c *Users) Archived(ctx context.Context, id wire.JobID) (wire.JobStatus, error) {
 	st, err := c.Past.Final(ctx, id)
 	switch {
-	case errors.Is(err, past.ErrUnknown):
+	case errors.Is(err, archiver.ErrUnknown):
 		err = ErrNoSuchJob
 	case err != nil:
 		err = errors.Join(state.ErrNoReach, err)
--- a/internal/desk/workers.go
+++ b/internal/server/workers.go
@@ -1,7 +1,7 @@
-// Package desk is the two parts of a controller that others talk to: Workers answers workers'
+// Package server is the two parts of a controller that others talk to: Workers answers workers'
 // reports, Users users' requests. Both decide under the mirror's lock, and let go of it while
 // they wait.
-package desk
+package server
 
 import (
 	"cmp"
@@ -48,7 +48,7 @@
 
 var goElsewhere = ReportAnswer{Status: 503}
 
-// WorkersParts are what the workers' desk works with.
+// WorkersParts are what the server of workers works with.
 type WorkersParts struct {
 	Mirror    *mirror.Mirror
 	Writer    *writer.Writer
@@ -61,7 +61,7 @@
 	Exchange  *completion.Exchange
 }
 
-// Workers is the workers' desk.
+// Workers serves workers' reports.
 type Workers struct {
 	set *settings.Settings
 	WorkersParts
@@ -72,7 +72,7 @@
 	measured int     // with which picture
 }
 
-// NewWorkers returns a workers' desk.
+// NewWorkers returns a server of workers' reports.
 func NewWorkers(set *settings.Settings, p WorkersParts, stats *metrics.Set, log *slog.Logger) *Workers {
 	return &Workers{set: set, WorkersParts: p, stats: stats, log: log}
 }
--- a/internal/duty/duty.go
+++ b/internal/supervise/supervise.go
@@ -1,7 +1,7 @@
-// Package duty runs what a process does all the time. A part of the process registers each of
+// Package supervise runs what a process does all the time. A part of the process registers each of
 // its duties with a name, a function that ends when its context does, and perhaps one that tells
 // what is amiss.
-package duty
+package supervise
 
 import (
 	"context"
--- a/internal/duty/duty_test.go
+++ b/internal/supervise/supervise_test.go
@@ -1,4 +1,4 @@
-package duty
+package supervise
 
 import (
 	"context"
--- a/internal/topology/tree.go
+++ b/internal/topology/tree.go
@@ -16,7 +16,7 @@
 	"github.com/protocolbuffers/txtpbfmt/parser"
 	"google.golang.org/protobuf/encoding/prototext"
 
-	"maddermill/internal/declared"
+	"maddermill/internal/configfile"
 	"maddermill/internal/topology/topologypb"
 	"maddermill/wire"
 )
@@ -108,7 +108,7 @@
 }
 
 func (p *parsing) fail(n *ast.Node, field, format string, args ...any) {
-	p.errs = append(p.errs, declared.Wrong(n, field, format, args...))
+	p.errs = append(p.errs, configfile.Wrong(n, field, format, args...))
 }
 
 // at is the i-th of nodes, nil if the text is laid out in a way that it isn't found.
@@ -133,16 +133,16 @@
 		t.First = ClosenessFirst
 	case topologypb.First_IMAGE, topologypb.First_FIRST_UNSPECIFIED:
 	default:
-		p.fail(at(declared.Fields(nodes, "first"), 0), "first", "%v is neither IMAGE nor CLOSENESS", m.GetFirst())
+		p.fail(at(configfile.Fields(nodes, "first"), 0), "first", "%v is neither IMAGE nor CLOSENESS", m.GetFirst())
 	}
 	if m.CloserWaitS != nil {
 		if w := *m.CloserWaitS; !(w >= 0 && w <= 3600) {
-			p.fail(at(declared.Fields(nodes, "closer_wait_s"), 0), "closer_wait_s", "must be from 0 to 3600")
+			p.fail(at(configfile.Fields(nodes, "closer_wait_s"), 0), "closer_wait_s", "must be from 0 to 3600")
 		} else {
 			t.CloserWait = wire.Seconds(w).Duration()
 		}
 	}
-	levels := declared.Fields(nodes, "level")
+	levels := configfile.Fields(nodes, "level")
 	if len(m.Level) == 0 || len(m.Level) > mostLevels {
 		p.fail(nil, "level", "there must be from 1 to %d, the zones' first", mostLevels)
 	}
@@ -161,7 +161,7 @@
 	for i := len(t.levels) - 1; i >= 0; i-- {
 		t.apart[i] = t.apart[i+1] + t.levels[i].Cost
 	}
-	blocks := declared.Fields(nodes, "block")
+	blocks := configfile.Fields(nodes, "block")
 	for i, b := range m.Block {
 		n := at(blocks, i)
 		zone := wire.Zone(b.Name)
@@ -209,7 +209,7 @@
 		p.fail(n, "block", "%s is deeper than there are levels", path)
 		return id
 	}
-	prefixes, machines, inner := declared.Fields(children(n), "prefix"), declared.Fields(children(n), "machine"), declared.Fields(children(n), "block")
+	prefixes, machines, inner := configfile.Fields(children(n), "prefix"), configfile.Fields(children(n), "machine"), configfile.Fields(children(n), "block")
 	for i, text := range b.Prefix {
 		node := at(prefixes, i)
 		pfx, err := netip.ParsePrefix(text)
--- a/internal/flows/requests.go
+++ b/internal/workflowrunner/requests.go
@@ -1,4 +1,4 @@
-package flows
+package workflowrunner
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 	"time"
 
 	"maddermill/internal/clock"
-	"maddermill/internal/desk"
 	"maddermill/internal/ledger"
 	"maddermill/internal/place"
+	"maddermill/internal/server"
 	"maddermill/internal/state"
 	"maddermill/internal/workflow"
 	"maddermill/wire"
@@ -30,8 +30,8 @@
 	known := c.led().Workflow(spec.ID) != nil
 	c.Mirror.Unlock()
 	if !known && c.set.Team(spec.Team) == nil {
-		if st, err = c.Status(ctx, spec.ID); errors.Is(err, desk.ErrNoSuchJob) {
-			err = errors.Join(desk.ErrNeverRuns, errors.New("unknown team"))
+		if st, err = c.Status(ctx, spec.ID); errors.Is(err, server.ErrNoSuchJob) {
+			err = errors.Join(server.ErrNeverRuns, errors.New("unknown team"))
 		}
 		return st, false, err
 	}
@@ -55,7 +55,7 @@
 			c.stats.Add("workflows_accepted_total", 1)
 			return wire.WorkflowStatus{ID: spec.ID, Status: wire.Queued}, true, nil
 		case errors.Is(err, ledger.ErrTooLarge):
-			return st, false, errors.Join(desk.ErrNeverRuns, err)
+			return st, false, errors.Join(server.ErrNeverRuns, err)
 		case !errors.Is(err, ledger.ErrStale):
 			return st, false, err
 		}
@@ -110,7 +110,7 @@
 		}
 	}
 	if w == nil {
-		return st, desk.ErrNoSuchJob
+		return st, server.ErrNoSuchJob
 	}
 	st.Why = w.Why
 	if d == nil {
--- a/internal/flows/flows.go
+++ b/internal/workflowrunner/runner.go
@@ -1,9 +1,9 @@
-// Package flows is the part of a controller that drives workflows: it accepts them, submits
+// Package workflowrunner is the part of a controller that drives workflows: it accepts them, submits
 // their steps' jobs as they become ready, and tells of them (docs/cwl.md).
 //
 // Which controller drives one follows from the workflow's name and the controllers in touch.
 // That two drive one for a while does no harm, that none does only lasts until the next look.
-package flows
+package workflowrunner
 
 import (
 	"bytes"
@@ -24,17 +24,17 @@
 	"sync/atomic"
 	"time"
 
+	"maddermill/internal/archiver"
 	"maddermill/internal/clock"
 	"maddermill/internal/data"
-	"maddermill/internal/desk"
 	"maddermill/internal/evidence"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
 	"maddermill/internal/metrics"
 	"maddermill/internal/mirror"
-	"maddermill/internal/past"
 	"maddermill/internal/promises"
 	"maddermill/internal/schedule"
+	"maddermill/internal/server"
 	"maddermill/internal/settings"
 	"maddermill/internal/state"
 	"maddermill/internal/workflow"
@@ -49,8 +49,8 @@
 	Members  *members.Members
 	Book     *evidence.Book
 	Schedule *schedule.Scheduler
-	Users    *desk.Users
-	Past     *past.Keeper
+	Users    *server.Users
+	Past     *archiver.Keeper
 	Promises *promises.Promises
 }
 
@@ -258,7 +258,7 @@
 		pieces = append(pieces, base64.StdEncoding.EncodeToString(part))
 	}
 	if len(pieces) > mostPieces {
-		return "", nil, fmt.Errorf("%w: its documents are too large", desk.ErrNeverRuns)
+		return "", nil, fmt.Errorf("%w: its documents are too large", server.ErrNeverRuns)
 	}
 	return hex.EncodeToString(sum[:]), pieces, nil
 }
--- a/internal/flows/steps.go
+++ b/internal/workflowrunner/steps.go
@@ -1,4 +1,4 @@
-package flows
+package workflowrunner
 
 import (
 	"cmp"
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"maddermill/internal/desk"
 	"maddermill/internal/ledger"
+	"maddermill/internal/server"
 	"maddermill/internal/workflow"
 	"maddermill/wire"
 )
@@ -36,7 +36,7 @@
 			return workflow.Done
 		case st.Status == wire.Cancelled:
 			return workflow.Cancelled
-		case !errors.Is(err, desk.ErrNoSuchJob):
+		case !errors.Is(err, server.ErrNoSuchJob):
 			s.miss.Store(true)
 		}
 		return workflow.Unknown
@@ -61,7 +61,7 @@
 	c.Mirror.Lock()
 	verdict := c.Users.MayCome(spec, time.Now())
 	c.Mirror.Unlock()
-	if errors.Is(verdict, desk.ErrNeverRuns) {
+	if errors.Is(verdict, server.ErrNeverRuns) {
 		return errors.Join(workflow.ErrNever, verdict)
 	}
 	if verdict != nil {
