--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -59,6 +59,19 @@
 	return last, stop
 }
 
+// lastAttempt keeps note of the last attempt of any task that machines report.
+func (h *history) lastAttempt() *wire.Attempt {
+	last := new(wire.Attempt)
+	h.reported = func(_ int, r *wire.Report) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for i := range r.Tasks {
+			*last = max(*last, r.Tasks[i].Attempt)
+		}
+	}
+	return last
+}
+
 // verdict ends a history and tells what was broken.
 func (h *history) verdict(cancel context.CancelFunc) {
 	h.t.Helper()
@@ -86,14 +99,7 @@
 			h.cloud.Run = func(wire.TaskID) time.Duration { return 20 * time.Second }
 			ctx, cancel := context.WithCancel(t.Context())
 			h.copies = seed%2 == 0
-			last := wire.Attempt(0)
-			h.reported = func(_ int, r *wire.Report) {
-				h.mu.Lock()
-				defer h.mu.Unlock()
-				for i := range r.Tasks {
-					last = max(last, r.Tasks[i].Attempt)
-				}
-			}
+			last := h.lastAttempt()
 			h.begin(ctx, 4, 0)
 			h.submit(ctx, gang)
 			for i := range 4 {
@@ -105,8 +111,8 @@
 			h.pass(100 * time.Second)
 			st := h.ask(ctx, gang.ID)
 			h.verdict(cancel)
-			if st != wire.Done || last != 1 {
-				t.Errorf("seed %d: it is %s after attempt %d", seed, st, last)
+			if st != wire.Done || *last != 1 {
+				t.Errorf("seed %d: it is %s after attempt %d", seed, st, *last)
 			}
 		})
 	}
@@ -591,14 +597,7 @@
 			h.cloud.Run = func(wire.TaskID) time.Duration { return 20 * time.Second }
 			ctx, cancel := context.WithCancel(t.Context())
 			var once sync.Once
-			last := wire.Attempt(0)
-			h.reported = func(_ int, r *wire.Report) {
-				h.mu.Lock()
-				defer h.mu.Unlock()
-				for i := range r.Tasks {
-					last = max(last, r.Tasks[i].Attempt)
-				}
-			}
+			last := h.lastAttempt()
 			h.at = func(_ int, step string) {
 				if step != "start answered" {
 					return
@@ -619,8 +618,8 @@
 			h.pass(12 * time.Second)
 			h.submit(ctx, gang)
 			h.pass(90 * time.Second)
-			if st := h.ask(ctx, gang.ID); st != wire.Done || last != 1 {
-				t.Errorf("seed %d: it is %s after attempt %d", seed, st, last)
+			if st := h.ask(ctx, gang.ID); st != wire.Done || *last != 1 {
+				t.Errorf("seed %d: it is %s after attempt %d", seed, st, *last)
 			}
 			h.verdict(cancel)
 		})
