A gang that lacks a task does not wait on

Cause: what a gang that had lost a task without its stop on record still claimed was sent again, or offered for take-over and refused, with every report. Change: claims wait on or are taken over only while the gang has all its tasks; else they go, and it starts anew.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -131,6 +131,9 @@
 	return j.Spec.Tasks - j.Done
 }
 
+// Whole reports whether every task is claimed or done: of a gang, that its attempt has all its tasks.
+func (j *Job) Whole() bool { return j.Done+j.Claimed == j.Spec.Tasks }
+
 // TaskDone reports whether a task is on record as done.
 func (j *Job) TaskDone(t wire.TaskIndex) bool {
 	c := j.chunks[int(t)/j.chunkTasks]
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -206,16 +206,16 @@
 	return h.Token == w.Hold && w.gaveUp(h, t)
 }
 
-// gaveUp reports whether a task gave up waiting for a gang that is still wanted, by a report that
-// nobody else can have overtaken.
+// gaveUp reports whether a task gave up waiting for a gang that is still wanted and has all its tasks,
+// by a report that nobody else can have overtaken. One that lacks a task would wait for ever.
 func (w *Worker) gaveUp(h ledger.Held, t *wire.TaskReport) bool {
-	return t.State == wire.TaskExited && t.Cause == wire.CauseAlone && w.Fresh && w.wanted(h)
+	return t.State == wire.TaskExited && t.Cause == wire.CauseAlone && w.Fresh && w.wanted(h) && h.Job.Whole()
 }
 
 // mayBegin reports whether a task that is not on the machine is a gang's that may begin there all the
-// same, whoever claimed it.
+// same, whoever claimed it: the gang has all its tasks.
 func (w *Worker) mayBegin(h ledger.Held) bool {
-	return h.Job.Together() > 1 && w.Recall.IsZero() && w.wanted(h)
+	return h.Job.Together() > 1 && w.Recall.IsZero() && w.wanted(h) && h.Job.Whole()
 }
 
 // wanted reports whether a claim's tasks should be on the machine.
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -12,7 +12,7 @@
 const hold = wire.Token(7)
 
 func held(session wire.Session, token wire.Token, state ledger.JobState) []ledger.Held {
-	j := &ledger.Job{ID: "wk-000001", Spec: &wire.JobSpec{Tasks: 1, Shape: wire.Array, Save: 2, Checkpoint: 5}, State: state}
+	j := &ledger.Job{ID: "wk-000001", Spec: &wire.JobSpec{Tasks: 1, Shape: wire.Array, Save: 2, Checkpoint: 5}, State: state, Claimed: 1}
 	return []ledger.Held{{Job: j, Claim: ledger.Claim{First: 0, Count: 1, Attempt: 3, Machine: "host-1", Session: session, Token: token}}}
 }
 
@@ -139,7 +139,7 @@
 		{"and the gang is to stop", 3, "", 5, true, hold, 1, 0, nil},
 	} {
 		h := held(1, tc.token, tc.state)
-		h[0].Job.Spec.Shape, h[0].Job.Spec.Tasks, h[0].Job.Stop = wire.Gang, 2, tc.stop
+		h[0].Job.Spec.Shape, h[0].Job.Spec.Tasks, h[0].Job.Claimed, h[0].Job.Stop = wire.Gang, 2, 2, tc.stop
 		r := report(1, 9, tc.seen, alone)
 		w := NewWorker(r, nil, time.Time{})
 		f := w.Take(r, h, hold, time.Time{})
@@ -153,6 +153,33 @@
 	}
 }
 
+// TestGangThatLacksATask: what a gang that has lost a task still claims goes, as that gang would wait for
+// ever; of a whole one it is taken over or waits on.
+func TestGangThatLacksATask(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		token          wire.Token
+		tasks          []wire.TaskReport
+		claimed        int
+		exits, takings int
+	}{
+		{"never sent, claimed under a lower token, whole", 5, nil, 2, 0, 1},
+		{"the same, lacks a task", 5, nil, 1, 1, 0},
+		{"gave up waiting under a lower token, whole", 5, []wire.TaskReport{alone(3)}, 2, 0, 1},
+		{"the same, lacks a task", 5, []wire.TaskReport{alone(3)}, 1, 1, 0},
+		{"gave up waiting, ours, whole", hold, []wire.TaskReport{alone(3)}, 2, 0, 0},
+		{"the same, lacks a task", hold, []wire.TaskReport{alone(3)}, 1, 1, 0},
+	} {
+		h := held(1, tc.token, "")
+		h[0].Job.Spec.Shape, h[0].Job.Spec.Tasks, h[0].Job.Claimed = wire.Gang, 2, tc.claimed
+		r := report(1, 9, hold, tc.tasks...)
+		f := NewWorker(r, nil, time.Time{}).Take(r, h, hold, time.Time{})
+		if len(f.Exits) != tc.exits || len(f.TakeOver) != tc.takings {
+			t.Errorf("%s: %d exits, %d taken over", tc.name, len(f.Exits), len(f.TakeOver))
+		}
+	}
+}
+
 // TestNoRoomForBoth: of two claims of the same room only one is sent, the gang's, and
 // the other is proven over with the next report: it was never sent.
 func TestNoRoomForBoth(t *testing.T) {
