--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -171,6 +171,7 @@
 	deaf := w.Deaf()
 	w.Lapsed(r, began, c.set.Cluster.Workers.Lease.Duration()-lateReport)
 	f := w.Take(r, c.led().HeldBy(r.Machine), hold, began)
+	f.Settle(func(j *ledger.Job) bool { return c.machinesReport(j, began) })
 	if w.Deaf() != deaf {
 		c.log.Warn("machine hears", "machine", r.Machine, "hears", deaf)
 		if !deaf {
@@ -185,6 +186,19 @@
 	return f
 }
 
+// machinesReport reports whether all machines that a job claims were heard lately by some controller. A
+// gang that waits for one that has stopped would wait until that is found to be lost.
+func (c *Workers) machinesReport(j *ledger.Job, now time.Time) (all bool) {
+	v := c.Schedule.View(now)
+	all = true
+	j.Claims(func(claim ledger.Claim) bool {
+		m := v.Machine(claim.Machine)
+		all = m != nil && !m.Overdue
+		return all
+	})
+	return all
+}
+
 // record has what a report proves and what the machine is given made durable, and waits for it for
 // as long as the report may wait. It tells false if a newer report has been taken in meanwhile.
 func (c *Workers) record(ctx context.Context, w *workers.Worker, r *wire.Report, f *workers.Findings, began time.Time) bool {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -88,16 +88,33 @@
 type Findings struct {
 	Exits []Exit
 	Seen  []Seen
-	// TakeOver are claims under a lower token of gangs' tasks that are to wait on, or to begin: before
-	// that they must come under ours.
+	// TakeOver are claims under a lower token of gangs' tasks that are to wait on: before that they must
+	// come under ours.
 	TakeOver []ledger.Held
+	// Unsent are tasks of gangs, claimed under a lower token, that can't begin under it any more: they
+	// are proven not to be there, and may be taken over and sent all the same.
+	Unsent []Exit
 }
 
-// takeOver adds a claim to those that are to be taken over, once an attempt.
-func (f *Findings) takeOver(h ledger.Held) {
-	if !slices.ContainsFunc(f.TakeOver, func(o ledger.Held) bool { return o.Job == h.Job && o.Attempt == h.Attempt }) {
-		f.TakeOver = append(f.TakeOver, h)
+// Settle decides what becomes of tasks that were not sent: those of gangs whose machines all report are
+// taken over, those of others are over, so that the gang begins anew elsewhere.
+func (f *Findings) Settle(allReport func(*ledger.Job) bool) {
+	for _, e := range f.Unsent {
+		if allReport(e.Held.Job) {
+			f.TakeOver = addAttempt(f.TakeOver, e.Held)
+		} else {
+			f.Exits = append(f.Exits, e)
+		}
+	}
+	f.Unsent = nil
+}
+
+// addAttempt adds a claim to a list that has one of each attempt.
+func addAttempt(list []ledger.Held, h ledger.Held) []ledger.Held {
+	if slices.ContainsFunc(list, func(o ledger.Held) bool { return o.Job == h.Job && o.Attempt == h.Attempt }) {
+		return list
 	}
+	return append(list, h)
 }
 
 // Take takes in a report that is not stale and tells which claims it proves to
@@ -156,7 +173,7 @@
 				// It is sent again under its claim.
 			case t != nil && w.Recall.IsZero() && h.Token < hold && w.gaveUp(h, t):
 				f.Seen = append(f.Seen, Seen{h, task, t.State})
-				f.takeOver(h)
+				f.TakeOver = addAttempt(f.TakeOver, h)
 			case t != nil && t.State == wire.TaskExited && t.Cause == wire.CauseAlone && (!w.Fresh || h.Token > hold):
 				// Whoever holds the machine may have it wait on under the same attempt: an old
 				// report of its giving up, taken by another controller, proves nothing. Once the
@@ -173,7 +190,7 @@
 			case w.Fresh && h.Token < hold && w.mayBegin(h):
 				// Its holder ended before it was sent, or the answer did not arrive. To release it would
 				// cost the whole gang its start.
-				f.takeOver(h)
+				f.Unsent = append(f.Unsent, Exit{Held: h, Task: task})
 			case w.Fresh && h.Token < hold:
 				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
 			case h.Token == hold && (w.Fresh && !w.wanted(h) || dropped[id] || w.hears.deaf) || slices.Contains(w.tokens, h.Token):
