--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -506,7 +506,7 @@
 // new of it.
 func (h *history) user(ctx context.Context, spec *wire.JobSpec, cancelAfter time.Duration, finished *int) {
 	h.world.Upload(spec)
-	st := h.askOne(ctx, spec.ID, submission(spec))
+	h.askOne(ctx, spec.ID, submission(spec))
 	h.askAll(ctx, spec)
 	began := time.Now()
 	for ctx.Err() == nil {
@@ -515,7 +515,7 @@
 		if cancelAfter > 0 && time.Since(began) > cancelAfter {
 			r = cancellation(spec.ID)
 		}
-		if st = h.askOne(ctx, spec.ID, r); rankOf(st) == 2 {
+		if rankOf(h.askOne(ctx, spec.ID, r)) == 2 {
 			break
 		}
 	}
