--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -208,3 +208,40 @@
 	}
 	return e.StartBy.UnixMilli()
 }
+
+// TestGangsAvoidOverdueMachines: a gang takes machines whose report is overdue, though they cache its image,
+// only where others do not do. One that has stopped would cost the whole gang its start.
+func TestGangsAvoidOverdueMachines(t *testing.T) {
+	for _, others := range []int{1, 2, 3} {
+		l := ledger.New(ledger.Limits{ValueBytes: 4096, TxnOps: 12, TxnBytes: 60000})
+		s := &wire.JobSpec{ID: "wk-000001", Class: "c", Team: "t", Shape: wire.Gang, Priority: wire.High, Tasks: 2, CPUs: 8, MemoryGB: 1, Image: "i1"}
+		d := l.NewDraft()
+		if err := d.Submit(s, 1); err != nil {
+			t.Fatal(err)
+		}
+		txn, _ := d.Txn()
+		l.Apply(ledger.Event{Key: txn.Then[0].Put, Value: txn.Then[0].Value, Version: 1})
+		v := &place.View{Now: start, TeamRoom: l.TeamRoom, Queue: []place.Entry{{Job: l.Job(s.ID)}}}
+		for i := range 2 + others {
+			m := &place.Machine{ID: wire.MachineID(fmt.Sprint("host-", i)), Type: "g", Zone: "a", Total: ledger.NewResources(8, 4, 16),
+				Free: ledger.NewResources(8, 4, 16), Images: place.NewImages(100), Usable: true, FetchGB: 1, Overdue: i < 2}
+			if m.Overdue {
+				m.Images.Used("i1", 5)
+			}
+			v.Machines = append(v.Machines, m)
+		}
+		starts := place.Gangs(v)
+		if len(starts) != 1 {
+			t.Fatalf("%d others: %d gangs placed", others, len(starts))
+		}
+		overdue := 0
+		for _, p := range starts[0].Parts {
+			if v.Machine(p.Site.Machine).Overdue {
+				overdue++
+			}
+		}
+		if want := max(0, 2-others); overdue != want {
+			t.Errorf("%d others: %d machines are overdue, want %d", others, overdue, want)
+		}
+	}
+}
