Read again: one test of an open change, one lock for a peer's answer, dead test fields

Change.Open serves the recorder and the leader, which each had it; statusFor takes the mirror's lock once less; what regress tells of waiting jobs stands once; fields that no meeting used go. Behaviour stays.

--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -115,15 +115,12 @@
 	return func(ctx context.Context, c *Core) (wire.JobStatus, error) { return c.Users.Cancel(ctx, id) }
 }
 
-// heldReport is a copy of a report that is kept.
-type heldReport struct{ wire.Report }
-
 // keep keeps a copy of a report, while that is wanted.
 func (h *history) keep(r *wire.Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.keeping {
-		h.kept = append(h.kept, heldReport{*r})
+		h.kept = append(h.kept, *r)
 	}
 }
 
@@ -148,7 +145,7 @@
 		for i := range h.n {
 			if c := h.core(i); c != nil {
 				h.group.Go(func() {
-					report := k.Report
+					report := k
 					_ = c.Workers.Report(ctx, &report)
 				})
 			}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -247,16 +247,17 @@
 func (c *Core) statusFor(ask mesh.Status) mesh.Status {
 	c.members.Asks(ask.Member, time.Now())
 	s := c.status()
-	c.mirror.Read(func(*ledger.Ledger) { c.told.Answer(ask, &s, time.Now()) })
-	if s.Cancelled > ask.Revision {
-		c.mirror.Read(func(l *ledger.Ledger) {
-			// Read after the status: it may hold more, and vouches for no more than it lists.
-			lacks, whole := l.CancelledSince(ask.Revision)
-			if s.Since, s.Cancelled = ask.Revision, l.LastCancel(); lacks.Len() <= mostEnded {
-				s.Ended, s.Flows, s.Whole = lacks.Jobs, lacks.Flows, whole
-			}
-		})
-	}
+	c.mirror.Read(func(l *ledger.Ledger) {
+		c.told.Answer(ask, &s, time.Now())
+		if s.Cancelled <= ask.Revision {
+			return
+		}
+		// Read after the status: it may hold more, and vouches for no more than it lists.
+		lacks, whole := l.CancelledSince(ask.Revision)
+		if s.Since, s.Cancelled = ask.Revision, l.LastCancel(); lacks.Len() <= mostEnded {
+			s.Ended, s.Flows, s.Whole = lacks.Jobs, lacks.Flows, whole
+		}
+	})
 	return s
 }
 
--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -75,7 +75,7 @@
 	deaf     map[wire.MachineID]bool      // whose reports arrive, and no answer to them
 	answers  answers
 	keeping  bool                    // copies of reports
-	kept     []heldReport            // so far
+	kept     []wire.Report           // so far
 	mute     map[wire.MachineID]bool // whose reports reach nobody
 	shut     map[wire.Zone]int       // zones that are cut off, each with a controller; -1: with none
 	lossy    float64                 // share of transactions without an answer
--- a/internal/controller/meeting_plan_test.go
+++ b/internal/controller/meeting_plan_test.go
@@ -18,7 +18,6 @@
 // hold besides the rules. Users ask all controllers at once whenever something became of their job.
 type meetingPlan struct {
 	name     string
-	nodes    int // controllers; 3 if 0
 	machines int // up at the start
 	most     int // that the cloud gives at the most
 	tune     func(*settings.Settings)
@@ -45,20 +44,18 @@
 	plan *meetingPlan
 	ctx  context.Context
 
-	users     sync.Mutex
-	accepted  map[wire.JobID]bool
-	final     map[wire.JobID]wire.Status
-	cancelled chan wire.JobID // at the end of its last task
+	users    sync.Mutex
+	accepted map[wire.JobID]bool
+	final    map[wire.JobID]wire.Status
 }
 
 // play plays a plan by a seed.
 func (p *meetingPlan) play(t *testing.T, seed uint64) {
-	nodes := max(p.nodes, 3)
-	h := newHistoryOf(t, seed, nodes, p.tune)
+	h := newHistoryOf(t, seed, 3, p.tune)
 	h.quiet, h.calm, h.past = true, true, seed%2 == 0
 	h.cloud.Most = max(p.most, p.machines)
 	h.cloud.Run = func(wire.TaskID) time.Duration { return 10 * time.Second }
-	m := &meetingRun{history: h, plan: p, accepted: map[wire.JobID]bool{}, final: map[wire.JobID]wire.Status{}, cancelled: make(chan wire.JobID, 1000)}
+	m := &meetingRun{history: h, plan: p, accepted: map[wire.JobID]bool{}, final: map[wire.JobID]wire.Status{}}
 	if p.world != nil {
 		p.world(h)
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -232,7 +232,7 @@
 		for dropped := false; !dropped; { // the queue fills up
 			ch := &writer.Change{Draft: func(*ledger.Draft) error { return nil }}
 			c.Writer.Enqueue(ch)
-			dropped = !open(ch)
+			dropped = !ch.Open()
 		}
 		l.releaseAll("host-2", held)
 		dropped := l.releasing["host-2"]
--- a/internal/leader/marks.go
+++ b/internal/leader/marks.go
@@ -80,7 +80,7 @@
 
 func (l *leader) setMark(id wire.MachineID, mark ledger.MachineMark, why string) {
 	key := markKey{id, mark}
-	if ch := l.marking[key]; ch != nil && open(ch) {
+	if ch := l.marking[key]; ch != nil && ch.Open() {
 		return // on its way
 	}
 	l.c.log.Info("machine leaves", "machine", id, "mark", mark, "why", why)
--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -40,7 +40,9 @@
 	}
 	c.Mirror.Lock()
 	defer c.Mirror.Unlock()
-	maps.DeleteFunc(l.releasing, func(_ wire.MachineID, changes []*writer.Change) bool { return !slices.ContainsFunc(changes, open) })
+	maps.DeleteFunc(l.releasing, func(_ wire.MachineID, changes []*writer.Change) bool {
+		return !slices.ContainsFunc(changes, (*writer.Change).Open)
+	})
 	gone := func(id wire.MachineID) bool { return l.returned[id] || c.led().Mark(id) == ledger.Gone }
 	c.led().Holders(func(id wire.MachineID, held []ledger.Held) {
 		if gone(id) {
@@ -56,15 +58,12 @@
 	return nil
 }
 
-// open reports whether a change that was asked for is neither made nor dropped yet.
-func open(ch *writer.Change) bool { return len(ch.Done()) == 0 }
-
 // releaseAll releases the claims on a machine that the cloud has confirmed to be gone. What is
 // still on its way is not asked for again: when a zone is lost, the releases of its hundreds of
 // machines take longer than any time that could be waited for, and asked for again and again
 // they once filled the queue, so that what was lost began nowhere else for minutes.
 func (l *leader) releaseAll(id wire.MachineID, held []ledger.Held) {
-	if slices.ContainsFunc(l.releasing[id], open) {
+	if slices.ContainsFunc(l.releasing[id], (*writer.Change).Open) {
 		return
 	}
 	var exits []workers.Exit
--- a/internal/regress/own.go
+++ b/internal/regress/own.go
@@ -344,9 +344,7 @@
 			}
 		}
 	}
-	if n := r.Idle.Neglected; n > 0 {
-		out = append(out, fmt.Sprintf("%d jobs left waiting beside room", n))
-	}
+	out = append(out, r.Idle.failures()...)
 	for _, t := range r.Targets {
 		if t.Kind == "node_restarts" && t.Value > 0 {
 			out = append(out, fmt.Sprintf("%v controllers ended by themselves", t.Value))
--- a/internal/regress/regress.go
+++ b/internal/regress/regress.go
@@ -54,6 +54,14 @@
 	Neglected int `json:"neglected"` // jobs that waited for 90 s beside room once troubles were over
 }
 
+// failures tells of jobs that were left waiting.
+func (i idle) failures() []string {
+	if i.Neglected == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d jobs left waiting beside room", i.Neglected)}
+}
+
 // leastServed is the share of a class, a team or a class's largest jobs that must be served.
 const leastServed = 0.5
 
@@ -72,10 +80,7 @@
 			out = append(out, fmt.Sprintf("%v: only %.2f served", s[0], share))
 		}
 	}
-	if d.Idle.Neglected > 0 {
-		out = append(out, fmt.Sprintf("%d jobs left waiting beside room", d.Idle.Neglected))
-	}
-	return out
+	return append(out, d.Idle.failures()...)
 }
 
 // Parse reads one journal entry. Days without a figure count as failed.
--- a/internal/schedule/picture.go
+++ b/internal/schedule/picture.go
@@ -168,13 +168,13 @@
 
 // machines lists every machine that some controller has heard lately.
 func (s *Scheduler) machines(now time.Time) []*place.Machine {
-	silent := s.set.SilentAfter()
+	silent, overdue := s.set.SilentAfter(), s.overdueAfter()
 	byID := map[wire.MachineID]*place.Machine{}
 	heard := map[wire.MachineID]time.Time{}
 	s.roster.Each(func(w *workers.Worker) {
 		if now.Sub(w.Heard) < silent {
 			m := s.MachineOf(w, now)
-			m.Overdue = now.Sub(w.Heard) > s.overdueAfter()
+			m.Overdue = now.Sub(w.Heard) > overdue
 			byID[w.ID], heard[w.ID] = m, w.Heard
 		}
 	})
@@ -185,7 +185,7 @@
 			if now.Sub(at) < silent && at.After(heard[o.ID]) && s.led().Mark(o.ID) == "" {
 				m := s.machineOfPeer(o, at, now)
 				// Of one that is not heard itself, or only by what it published, nothing is told.
-				m.Overdue = p.Status.Loaded && now.Sub(p.Asked) < tellsOfSilence && now.Sub(at) > s.overdueAfter()
+				m.Overdue = p.Status.Loaded && now.Sub(p.Asked) < tellsOfSilence && now.Sub(at) > overdue
 				byID[o.ID], heard[o.ID] = m, at
 			}
 		}
--- a/internal/workers/recorder.go
+++ b/internal/workers/recorder.go
@@ -4,6 +4,8 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"maddermill/internal/clock"
@@ -65,11 +67,9 @@
 		r.touched = now
 	}
 	r.completed.Prune(l, r.mirror.Contact())
-	for id, changes := range r.recording {
-		if !anyOpen(changes) {
-			delete(r.recording, id)
-		}
-	}
+	maps.DeleteFunc(r.recording, func(_ wire.JobID, changes []*writer.Change) bool {
+		return !slices.ContainsFunc(changes, (*writer.Change).Open)
+	})
 	for id, exits := range r.lacking(l, now) {
 		r.log.Info("completions recorded", "job", id, "tasks", len(exits))
 		r.stats.Add("completions_recorded_total", int64(len(exits)))
@@ -100,13 +100,3 @@
 	h.Write([]byte(id))
 	return int(h.Sum32()%uint32(max(1, r.limits.Of))) == r.limits.Number
 }
-
-// anyOpen reports whether one of some changes is neither made nor dropped yet.
-func anyOpen(changes []*writer.Change) bool {
-	for _, change := range changes {
-		if len(change.Done()) == 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/writer/writer.go
+++ b/internal/writer/writer.go
@@ -47,6 +47,9 @@
 // Done gets one value: nil once the change is durable, or why it was not made.
 func (ch *Change) Done() <-chan error { return ch.done }
 
+// Open reports whether the change is neither made nor dropped yet, as far as nobody has taken from Done.
+func (ch *Change) Open() bool { return len(ch.done) == 0 }
+
 // Options are the settings of a writer.
 type Options struct {
 	Changes float64 // a second, this controller's share
