--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -79,7 +79,10 @@
 			if own {
 				return runOwn(only, day, seeds, atOnce, why)
 			}
-			return run(full, keep, hunt, why, only)
+			if !cmd.Flags().Changed("at-once") {
+				atOnce = 0
+			}
+			return run(full, keep, hunt, atOnce, why, only)
 		}}
 	f := root.Flags()
 	f.BoolVar(&full, "full", false, "all days and a hunt, not the two roughest days")
@@ -89,7 +92,7 @@
 	f.BoolVar(&own, "own", false, "days of our own instead: half as many machines again, troubles stacked")
 	f.StringVar(&day, "day", "", "with --own: days whose names have `TEXT` in them")
 	f.IntVar(&seeds, "seeds", 1, "with --own: `N` orders of the days on which troubles meet")
-	f.IntVar(&atOnce, "at-once", 4, "with --own: days played at once")
+	f.IntVar(&atOnce, "at-once", 4, "days played at once; without --own, if it isn't given, as many as the bench plays by itself")
 	f.StringVar(&only, "only", "", "deployments whose names have `TEXT` in them")
 	f.StringVar(&why, "why", "Regression before a landing", "what the journal says of the runs")
 	if err := root.Execute(); err != nil {
@@ -101,10 +104,17 @@
 	}
 }
 
-func run(full, keep bool, hunt int, why, only string) error {
+func run(full, keep bool, hunt, atOnce int, why, only string) error {
 	if hunt < 0 {
 		return badUse{fmt.Errorf("--hunt: %d is no number of days; 0: none", hunt)}
 	}
+	if atOnce < 0 {
+		return badUse{fmt.Errorf("--at-once: %d is no number of days to play at once; at least 1", atOnce)}
+	}
+	var jobs []string
+	if atOnce > 0 {
+		jobs = []string{"--jobs", fmt.Sprint(atOnce)}
+	}
 	sites, missing, err := find(compared, only)
 	if err != nil {
 		return err
@@ -123,7 +133,7 @@
 	if !full {
 		args = append(args, "--quick")
 	}
-	now, broken, err := play(append(args, "--why", why)...)
+	now, broken, err := play(slices.Concat(args, jobs, []string{"--why", why})...)
 	if err != nil {
 		return err
 	}
@@ -144,7 +154,7 @@
 	}
 	if full && hunt > 0 {
 		for _, s := range sites {
-			_, worse, err := play("hunt", s, "--days", fmt.Sprint(hunt), "--why", why)
+			_, worse, err := play(slices.Concat([]string{"hunt", s, "--days", fmt.Sprint(hunt)}, jobs, []string{"--why", why})...)
 			if err != nil {
 				return err
 			}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -3,11 +3,14 @@
 package controller
 
 import (
+	"context"
 	"crypto/ed25519"
 	"log/slog"
 	"math"
 	"time"
 
+	"maddermill/internal/clock"
+	"maddermill/internal/completion"
 	"maddermill/internal/desk"
 	"maddermill/internal/duty"
 	"maddermill/internal/evidence"
@@ -51,6 +54,8 @@
 	members  *members.Members
 	book     *evidence.Book
 	roster   *workers.Roster
+	done     *completion.Log
+	told     *completion.Exchange
 	schedule *schedule.Scheduler
 	lead     *lead.Lead
 	past     *past.Keeper
@@ -69,15 +74,17 @@
 	if q := set.Operators.Quarantine; q.On {
 		c.book.SetOdds(evidence.Odds{Faulty: q.Faulty, Wrong: q.Wrong})
 	}
-	c.roster = workers.NewRoster(c.members)
+	c.done = completion.New(completion.Most(set.MemoryBytes() / completionShare))
+	c.told = completion.NewExchange(c.done, c.boot, membersOptions(set).Others)
+	c.roster = workers.NewRoster(c.members, c.done)
 	c.policies = policies.New(host{c}, store, set.Member, c.Stats, log)
 	c.past = past.New(host{c}, store, pastOptions(set), c.Stats, log)
 	c.Places = places.New(set, c.mirror, c.members, c.roster, c.book, func() { c.schedule.Renew() }, c.Stats, log)
 	c.Promises = promises.New(set, promises.Parts{Mirror: c.mirror, Writer: c.writer, Book: c.book, Members: c.members, Roster: c.roster}, c.Stats, log)
 	c.schedule = schedule.New(set, schedule.Parts{Mirror: c.mirror, Members: c.members, Roster: c.roster, Book: c.book, Places: c.Places, Policies: c.policies, Promises: c.Promises}, c.Stats, log)
-	c.Workers = desk.NewWorkers(set, desk.WorkersParts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Places: c.Places, Schedule: c.schedule}, c.Stats, log)
+	c.Workers = desk.NewWorkers(set, desk.WorkersParts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Places: c.Places, Schedule: c.schedule, Completed: c.done, Exchange: c.told}, c.Stats, log)
 	c.Users = desk.NewUsers(set, desk.UsersParts{Mirror: c.mirror, Writer: c.writer, Policies: c.policies, Past: c.past, Promises: c.Promises}, c.Stats, log)
-	c.lead = lead.New(set, store, lead.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Schedule: c.schedule, Policies: c.policies}, c.Stats, log)
+	c.lead = lead.New(set, store, lead.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Roster: c.roster, Book: c.book, Schedule: c.schedule, Policies: c.policies, Completed: c.done}, c.Stats, log)
 	c.Workflows = flows.New(set, store, flows.Parts{Mirror: c.mirror, Writer: c.writer, Members: c.members, Book: c.book, Schedule: c.schedule, Users: c.Users, Past: c.past, Promises: c.Promises}, c.Stats, log)
 	c.gauges()
 	return c
@@ -114,6 +121,25 @@
 		Requests: s.RPS / float64(set.Cluster.Count), Changes: s.WriteRPS}
 }
 
+// completionShare is the part of a controller's memory that completions may take: one in so many.
+const completionShare = 50
+
+// pruneEvery is how often completions are dropped that are on record.
+const pruneEvery = time.Second
+
+// pruneCompletions drops completions that are on record, until ctx ends.
+func (c *Core) pruneCompletions(ctx context.Context) error {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, pruneEvery)
+		c.mirror.Read(func(l *ledger.Ledger) {
+			if c.mirror.Loaded() {
+				c.done.Prune(l, c.mirror.Contact())
+			}
+		})
+	}
+	return ctx.Err()
+}
+
 // gauges registers what is read under the mirror's lock when metrics are asked for.
 func (c *Core) gauges() {
 	gauge := func(name string, read func(l *ledger.Ledger) float64) {
@@ -136,6 +162,8 @@
 	})
 	gauge("galleries_open", func(l *ledger.Ledger) float64 { open, _ := promises.Count(l); return float64(open) })
 	gauge("galleries_at_risk", func(l *ledger.Ledger) float64 { _, risky := promises.Count(l); return float64(risky) })
+	gauge("completions_kept", func(*ledger.Ledger) float64 { return float64(c.done.Len()) })
+	gauge("completions_lost", func(*ledger.Ledger) float64 { return float64(c.done.Lost()) })
 	gauge("jobs_suspect", func(*ledger.Ledger) float64 { return float64(c.book.CountSuspects()) })
 	count := func(name string, is func(l *ledger.Ledger, w *workers.Worker) bool) {
 		gauge(name, func(l *ledger.Ledger) (k float64) {
@@ -235,6 +263,7 @@
 func (c *Core) statusFor(ask mesh.Status) mesh.Status {
 	c.members.Asks(ask.Member, time.Now())
 	s := c.status()
+	c.mirror.Read(func(*ledger.Ledger) { c.told.Answer(ask, &s, time.Now()) })
 	if s.Cancelled > ask.Revision {
 		c.mirror.Read(func(l *ledger.Ledger) {
 			// Read after the status: it may hold more, and vouches for no more than it lists.
@@ -250,10 +279,13 @@
 // mostEnded is how many cancellations a peer is told of at once: those of a refusal that lasts.
 const mostEnded = 400
 
-// question is what this controller says of itself when it asks a peer.
-func (c *Core) question() mesh.Status {
+// questionTo is what this controller says of itself when it asks a peer.
+func (c *Core) questionTo(peer wire.MemberID) mesh.Status {
 	s := mesh.Status{Member: c.set.Member}
-	c.mirror.Read(func(l *ledger.Ledger) { s.Revision = l.Revision() })
+	c.mirror.Read(func(l *ledger.Ledger) {
+		s.Revision = l.Revision()
+		c.told.Question(peer, &s)
+	})
 	return s
 }
 
@@ -299,6 +331,7 @@
 func (c *Core) heardPeer(a mesh.Answer) {
 	c.mirror.Read(func(l *ledger.Ledger) {
 		l.Doom(listed(&a.Status))
+		c.told.Hear(&a.Status, c.Workers.Lacking, time.Now())
 		c.members.Heard(a.Status, a.Asked) // it may vouch from now on, for this ledger
 		c.book.Hear(l, a.Status.Suspects, a.Asked)
 		c.book.HearFailures(a.Status.Failures)
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -22,7 +22,7 @@
 	}})
 	for _, p := range c.set.Peers {
 		c.Duties.Add(duty.Duty{Name: "peer " + string(p.Member), Run: func(ctx context.Context) error {
-			mesh.Ask(ctx, dialer, p.Addr, c.question, time.Second, c.heardPeer)
+			mesh.Ask(ctx, dialer, p.Addr, func() mesh.Status { return c.questionTo(p.Member) }, time.Second, c.heardPeer)
 			return ctx.Err()
 		}, Amiss: func(now time.Time) string {
 			peer := c.members.Peer(p.Member)
@@ -72,6 +72,7 @@
 			return why
 		}},
 		duty.Duty{Name: "writer", Run: c.writer.Run, Amiss: c.writer.Amiss},
+		duty.Duty{Name: "completions", Run: c.pruneCompletions},
 		duty.Duty{Name: "sweeper", Run: c.Workers.Sweep},
 		duty.Duty{Name: "publisher", Run: func(ctx context.Context) error { return c.members.Publish(ctx, c.store, c.published) }},
 		duty.Duty{Name: "reader of publications", Run: func(ctx context.Context) error { return c.members.ReadPublished(ctx, c.mirror) }},
--- a/internal/desk/workers.go
+++ b/internal/desk/workers.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"maddermill/internal/clock"
+	"maddermill/internal/completion"
 	"maddermill/internal/evidence"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
+	"maddermill/internal/mesh"
 	"maddermill/internal/metrics"
 	"maddermill/internal/mirror"
 	"maddermill/internal/place"
@@ -48,13 +50,15 @@
 
 // WorkersParts are what the workers' desk works with.
 type WorkersParts struct {
-	Mirror   *mirror.Mirror
-	Writer   *writer.Writer
-	Members  *members.Members
-	Roster   *workers.Roster
-	Book     *evidence.Book
-	Places   *places.Places
-	Schedule *schedule.Scheduler
+	Mirror    *mirror.Mirror
+	Writer    *writer.Writer
+	Members   *members.Members
+	Roster    *workers.Roster
+	Book      *evidence.Book
+	Places    *places.Places
+	Schedule  *schedule.Scheduler
+	Completed *completion.Log
+	Exchange  *completion.Exchange
 }
 
 // Workers is the workers' desk.
@@ -97,6 +101,7 @@
 	c.stats.Add("reports_total", 1)
 	c.Mirror.Lock()
 	defer c.Mirror.Unlock()
+	c.noteCompletions(r, began)
 	if !c.Mirror.Loaded() || c.Mirror.Token() == 0 {
 		return goElsewhere
 	}
@@ -143,6 +148,10 @@
 			c.stats.Add("machines_deaf_total", 1)
 		}
 	}
+	if !c.Exchange.Complete(began) {
+		// A peer may know that they are done; the next report shows them again.
+		f.Exits = slices.DeleteFunc(f.Exits, func(e workers.Exit) bool { return e.Held.Session < r.Session && e.Cause == "" })
+	}
 	c.learn(w, &f, began)
 	if a, ok := c.passOn(w, &f, began); ok {
 		return a
@@ -209,6 +218,27 @@
 	return ReportAnswer{Status: 200, Response: &wire.ReportResponse{Token: w.Hold, Commands: cmds}}
 }
 
+// noteCompletions keeps what a report shows as completed, however old it is and whether or not it
+// may be answered: a completion stays proof of its claim.
+func (c *Workers) noteCompletions(r *wire.Report, now time.Time) {
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		if t.State != wire.TaskExited || t.Cause != wire.CauseDone {
+			continue
+		}
+		done := mesh.Completion{Job: t.Task.Job, Task: t.Task.Index, Attempt: t.Attempt, Machine: r.Machine, Session: r.Session}
+		if c.Lacking(done) {
+			c.Completed.Note(done, now)
+		}
+	}
+}
+
+// Lacking reports, under the mirror's lock, whether the records may lack a completion: they hold the
+// claim that it is of, or they are not read yet, or may be too old to show that claim.
+func (c *Workers) Lacking(done mesh.Completion) bool {
+	return !c.Mirror.InTouch(time.Now(), settings.StartContact) || completion.Claimed(c.led(), done)
+}
+
 // lateReport is how old a report may be when it comes, for its worker to take the answer.
 const lateReport = 5 * time.Second
 
@@ -273,7 +303,11 @@
 		switch e.Cause {
 		case wire.CauseDone:
 			c.Book.Completed(j, e.Task, w.ID, c.Places.BlockOf(w), e.Ran, now)
-			im.Used(j.Spec.Image, j.Spec.ImageGB)
+			if e.Held.Session == w.Session {
+				im.Used(j.Spec.Image, j.Spec.ImageGB)
+			} else {
+				c.stats.Add("completions_recalled_total", 1)
+			}
 		case wire.CauseError:
 			c.Book.Failed(j, e.Task, w.ID, c.Places.BlockOf(w), now)
 		case wire.CauseNoRoom:
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -16,6 +16,7 @@
 
 	"maddermill/internal/clock"
 	"maddermill/internal/cloud"
+	"maddermill/internal/completion"
 	"maddermill/internal/evidence"
 	"maddermill/internal/fleet"
 	"maddermill/internal/ledger"
@@ -51,13 +52,14 @@
 
 // Parts are what the leader works with.
 type Parts struct {
-	Mirror   *mirror.Mirror
-	Writer   *writer.Writer
-	Members  *members.Members
-	Roster   *workers.Roster
-	Book     *evidence.Book
-	Schedule *schedule.Scheduler
-	Policies *policies.Keeper
+	Mirror    *mirror.Mirror
+	Writer    *writer.Writer
+	Members   *members.Members
+	Roster    *workers.Roster
+	Book      *evidence.Book
+	Schedule  *schedule.Scheduler
+	Policies  *policies.Keeper
+	Completed *completion.Log
 }
 
 // Lead is that part of a controller.
@@ -583,7 +585,8 @@
 	var exits []workers.Exit
 	for _, h := range held {
 		for i := range h.Count {
-			exits = append(exits, workers.Exit{Held: h, Task: h.First + wire.TaskIndex(i)})
+			task := h.First + wire.TaskIndex(i)
+			exits = append(exits, workers.Exit{Held: h, Task: task, Cause: l.c.Completed.Cause(&h, task)})
 		}
 	}
 	l.releasing[id] = workers.ExitChanges(l.c.Mirror, exits)
--- a/internal/ledger/draft.go
+++ b/internal/ledger/draft.go
@@ -633,7 +633,7 @@
 		w := d.job(j)
 		c := w.chunk(n)
 		for _, task := range tasks {
-			at := slices.IndexFunc(c.Claims, func(o Claim) bool { return o.covers(task) && o.sameStart(&claim) })
+			at := slices.IndexFunc(c.Claims, func(o Claim) bool { return o.Covers(task) && o.sameStart(&claim) })
 			if at < 0 || int(task)/j.chunkTasks != n {
 				continue
 			}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -181,7 +181,8 @@
 	return sum
 }
 
-func (c *Claim) covers(t wire.TaskIndex) bool {
+// Covers reports whether a task is one of the claim's.
+func (c *Claim) Covers(t wire.TaskIndex) bool {
 	return t >= c.First && int(t-c.First) < c.Count
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -73,6 +73,20 @@
 	Whole    bool              `cbor:"21,keyasint,omitempty" json:"-"`
 	Register int               `cbor:"18,keyasint,omitempty" json:"-"` // edition of the register of galleries; 0: none
 	Keeping  []Emptying        `cbor:"17,keyasint,omitempty" json:"-"` // for late gangs: nothing is stopped for it
+	// Completions that workers reported and that the records may lack: of the run Boot those up to
+	// number CompletedTo. Who asks says with CompletedBoot and CompletedTo which it was told.
+	Completed     []Completion `cbor:"23,keyasint,omitempty" json:"-"`
+	CompletedTo   uint64       `cbor:"24,keyasint,omitempty" json:"-"`
+	CompletedBoot int64        `cbor:"25,keyasint,omitempty" json:"-"`
+}
+
+// Completion is a task's completion as its worker reported it.
+type Completion struct {
+	Job     wire.JobID     `cbor:"1,keyasint"`
+	Task    wire.TaskIndex `cbor:"2,keyasint,omitempty"`
+	Attempt wire.Attempt   `cbor:"3,keyasint"`
+	Machine wire.MachineID `cbor:"4,keyasint"`
+	Session wire.Session   `cbor:"5,keyasint"`
 }
 
 // Failure is a task's error on a machine that a controller held lately, where machines are judged
--- a/internal/parttest/parttest.go
+++ b/internal/parttest/parttest.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"maddermill/internal/completion"
 	"maddermill/internal/evidence"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
@@ -79,19 +80,21 @@
 // Parts are those of one controller, on a state service of its own, and say nothing. No duty of
 // theirs runs.
 type Parts struct {
-	Set      *settings.Settings
-	Store    state.Store
-	Stats    *metrics.Set
-	Log      *slog.Logger
-	Mirror   *mirror.Mirror
-	Writer   *writer.Writer
-	Members  *members.Members
-	Book     *evidence.Book
-	Roster   *workers.Roster
-	Policies *policies.Keeper
-	Places   *places.Places
-	Promises *promises.Promises
-	Schedule *schedule.Scheduler
+	Set       *settings.Settings
+	Store     state.Store
+	Stats     *metrics.Set
+	Log       *slog.Logger
+	Mirror    *mirror.Mirror
+	Writer    *writer.Writer
+	Members   *members.Members
+	Book      *evidence.Book
+	Roster    *workers.Roster
+	Policies  *policies.Keeper
+	Places    *places.Places
+	Promises  *promises.Promises
+	Schedule  *schedule.Scheduler
+	Completed *completion.Log
+	Exchange  *completion.Exchange
 }
 
 // New returns the parts of a member.
@@ -108,7 +111,9 @@
 	}
 	p.Members = members.New(members.Options{Self: set.Member, Others: others, Count: 3, Contact: settings.StartContact, ValueBytes: limits.ValueBytes}, p.Stats, p.Log)
 	p.Book = evidence.New(p.Members, p.Stats, p.Log)
-	p.Roster = workers.NewRoster(p.Members)
+	p.Completed = completion.New(64)
+	p.Exchange = completion.NewExchange(p.Completed, time.Now(), others)
+	p.Roster = workers.NewRoster(p.Members, p.Completed)
 	p.Policies = policies.New(follower{p}, p.Store, set.Member, p.Stats, p.Log)
 	p.Places = places.New(set, p.Mirror, p.Members, p.Roster, p.Book, func() {}, p.Stats, p.Log)
 	p.Promises = promises.New(set, promises.Parts{Mirror: p.Mirror, Writer: p.Writer, Book: p.Book, Members: p.Members, Roster: p.Roster}, p.Stats, p.Log)
--- a/internal/regress/own.go
+++ b/internal/regress/own.go
@@ -286,6 +286,7 @@
 		Kind  string  `json:"kind"`
 		Value float64 `json:"value"`
 	} `json:"targets"`
+	Idle idle `json:"idle"`
 }
 
 // Served is how the jobs of a class or of a team fared.
@@ -343,6 +344,9 @@
 			}
 		}
 	}
+	if n := r.Idle.Neglected; n > 0 {
+		out = append(out, fmt.Sprintf("%d jobs left waiting beside room", n))
+	}
 	for _, t := range r.Targets {
 		if t.Kind == "node_restarts" && t.Value > 0 {
 			out = append(out, fmt.Sprintf("%v controllers ended by themselves", t.Value))
--- a/internal/regress/regress.go
+++ b/internal/regress/regress.go
@@ -29,21 +29,53 @@
 	Site, Name string
 	Figure     float64
 	Aims       map[string]float64
-	Broken     []string // rules, and why the day failed
+	Broken     []string // rules, and why else the day failed
 }
 
 // entry is the part of a journal's entry that figures are read from.
 type entry struct {
-	Site string `json:"site"`
-	OK   bool   `json:"ok"`
-	Days []struct {
-		Name   string          `json:"name"`
-		Kind   string          `json:"kind"`
-		Figure *float64        `json:"score"`
-		Rules  map[string]any  `json:"rules"`
-		Fault  json.RawMessage `json:"fault"`
-		Aims   [][2]any        `json:"aims"`
-	} `json:"days"`
+	Site string     `json:"site"`
+	Days []entryDay `json:"days"`
+}
+
+type entryDay struct {
+	Name   string          `json:"name"`
+	Kind   string          `json:"kind"`
+	Figure *float64        `json:"score"`
+	Rules  map[string]any  `json:"rules"`
+	Fault  json.RawMessage `json:"fault"`
+	Aims   [][2]any        `json:"aims"`
+	Served [][3]any        `json:"served"` // of what, its share of all work, the share of it that was served
+	Idle   idle            `json:"idle"`
+}
+
+// idle is what the bench tells of room that nobody used.
+type idle struct {
+	Neglected int `json:"neglected"` // jobs that waited for 90 s beside room once troubles were over
+}
+
+// leastServed is the share of a class, a team or a class's largest jobs that must be served.
+const leastServed = 0.5
+
+// failures lists why a day counts as failed, whatever its figure is.
+func (d *entryDay) failures() (out []string) {
+	for _, rule := range slices.Sorted(maps.Keys(d.Rules)) {
+		out = append(out, fmt.Sprintf("%s (%v)", rule, d.Rules[rule]))
+	}
+	if fault := string(d.Fault); fault != "" && fault != "null" {
+		out = append(out, "the day failed: "+fault)
+	} else if d.Figure == nil {
+		out = append(out, "the day has no figure")
+	}
+	for _, s := range d.Served {
+		if share, ok := s[2].(float64); ok && share < leastServed {
+			out = append(out, fmt.Sprintf("%v: only %.2f served", s[0], share))
+		}
+	}
+	if d.Idle.Neglected > 0 {
+		out = append(out, fmt.Sprintf("%d jobs left waiting beside room", d.Idle.Neglected))
+	}
+	return out
 }
 
 // Parse reads one journal entry. Days without a figure count as failed.
@@ -52,22 +84,14 @@
 	if err := json.Unmarshal(b, &e); err != nil {
 		return nil, err
 	}
-	if !e.OK || e.Site == "" {
+	if e.Site == "" || len(e.Days) == 0 {
 		return nil, fmt.Errorf("the run did not finish")
 	}
 	var out []Played
 	for _, d := range e.Days {
 		name, _, _ := strings.Cut(d.Name, " --")
-		p := Played{Site: e.Site, Name: name, Aims: map[string]float64{}}
-		for _, rule := range slices.Sorted(maps.Keys(d.Rules)) {
-			p.Broken = append(p.Broken, fmt.Sprintf("%s (%v)", rule, d.Rules[rule]))
-		}
-		if fault := string(d.Fault); fault != "" && fault != "null" {
-			p.Broken = append(p.Broken, "the day failed: "+fault)
-		}
-		if d.Figure == nil {
-			p.Broken = append(p.Broken, "the day has no figure")
-		} else {
+		p := Played{Site: e.Site, Name: name, Aims: map[string]float64{}, Broken: d.failures()}
+		if d.Figure != nil {
 			p.Figure = *d.Figure
 		}
 		for _, a := range d.Aims {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -393,6 +393,17 @@
 // is sent, or anything else that counts on being in touch is done.
 const StartContact = 4 * time.Second
 
+// MemoryBytes is what the process may hold, or what is assumed where no quota is stated.
+func (s *Settings) MemoryBytes() int {
+	if s.Cluster.Quota.MemoryMB > 0 {
+		return int(s.Cluster.Quota.MemoryMB * (1 << 20))
+	}
+	return assumedMemory
+}
+
+// assumedMemory is taken for the quota where none is stated, in bytes.
+const assumedMemory = 128 << 20
+
 // SilentAfter is how long a machine that works may leave between two reports.
 func (s *Settings) SilentAfter() time.Duration {
 	return 2*s.Cluster.Workers.Report.Duration() + 2*time.Second
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	Broken  []string
 	Starts  int
 	Lapsed  int // tasks that ended with a lease
+	Again   int // starts of tasks that had completed
 
 	Finished func(wire.TaskID)                               // called before a task is reported as done, if given
 	Fails    func(wire.MachineID, wire.TaskID) bool          // a task ends with an error there, if given
@@ -100,6 +101,9 @@
 func (w *World) start(m *Machine, t wire.TaskID) {
 	spec := w.specs[t.Job]
 	w.Starts++
+	if w.done[t] {
+		w.Again++
+	}
 	if o, ok := w.on[t]; ok {
 		w.broke("ran_twice " + t.String() + " on " + string(o) + " and " + string(m.Type.ID))
 	}
--- a/internal/workers/roster.go
+++ b/internal/workers/roster.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"maddermill/internal/completion"
 	"maddermill/internal/ledger"
 	"maddermill/internal/members"
 	"maddermill/internal/place"
@@ -12,9 +13,10 @@
 // Roster is the machines that report to this controller, and what is known of their images.
 // It has no lock: it is used under the mirror's.
 type Roster struct {
-	members *members.Members
-	workers map[wire.MachineID]*Worker
-	images  map[wire.MachineID]*cached
+	members   *members.Members
+	completed *completion.Log
+	workers   map[wire.MachineID]*Worker
+	images    map[wire.MachineID]*cached
 }
 
 // cached is what a machine is believed to hold in a session.
@@ -25,8 +27,8 @@
 
 // NewRoster returns a roster without machines. Members tell of the images of a machine that
 // another controller held before.
-func NewRoster(m *members.Members) *Roster {
-	return &Roster{members: m, workers: map[wire.MachineID]*Worker{}, images: map[wire.MachineID]*cached{}}
+func NewRoster(m *members.Members, completed *completion.Log) *Roster {
+	return &Roster{members: m, completed: completed, workers: map[wire.MachineID]*Worker{}, images: map[wire.MachineID]*cached{}}
 }
 
 // Worker is a machine that reports here; nil: it doesn't.
@@ -34,7 +36,7 @@
 
 // Join adds a machine that reports here for the first time.
 func (r *Roster) Join(report *wire.Report, now time.Time) *Worker {
-	w := NewWorker(report, now)
+	w := NewWorker(report, r.completed, now)
 	r.workers[w.ID] = w
 	return w
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"maddermill/internal/completion"
 	"maddermill/internal/ledger"
 	"maddermill/wire"
 )
@@ -41,11 +42,13 @@
 	since   map[claimID]time.Time      // when a task was first seen running
 	tokens  []wire.Token               // that it was held under in this session, before Hold
 	hears   hearing
+
+	completed *completion.Log
 }
 
-// NewWorker returns a worker first heard now.
-func NewWorker(r *wire.Report, now time.Time) *Worker {
-	return &Worker{ID: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, First: now,
+// NewWorker returns a worker first heard now. Completions tell how tasks ended that it has forgotten.
+func NewWorker(r *wire.Report, completed *completion.Log, now time.Time) *Worker {
+	return &Worker{completed: completed, ID: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot, First: now,
 		stop: map[claimID]bool{},
 		sent: map[claimID]wire.Tally{}, dropped: map[claimID]bool{}, running: map[claimID]wire.TaskState{}, since: map[claimID]time.Time{}}
 }
@@ -127,7 +130,8 @@
 			id := claimID{wire.TaskID{Job: h.Job.ID, Index: task}, h.Attempt}
 			switch t := there[id]; {
 			case h.Session < r.Session:
-				f.Exits = append(f.Exits, Exit{Held: h, Task: task})
+				// The worker has forgotten how it ended, which may be known all the same.
+				f.Exits = append(f.Exits, Exit{Held: h, Task: task, Cause: w.completed.Cause(&h, task)})
 			case h.Session > r.Session:
 				// The report is from before the claim's session.
 			case t != nil && w.rejoins(h, t):
