Workflow status: all steps or none, and the reason why

Symptom: a done workflow's status named steps as running. Cause: the replay of a workflow ended with the request's time and what it had by then was shown as all; a pass that failed to read a result or the archive passed for whole, also where a cancelled workflow is closed. Change: steps are whole or left out with steps_unknown; a request waits for another's replay only as long as its own time lasts; a pass that failed counts as cut.

--- a/cmd/maddermill/cwlwatch.go
+++ b/cmd/maddermill/cwlwatch.go
@@ -104,6 +104,9 @@
 	if len(status.Outputs) > 0 && !p.asJSON {
 		printf(p.out, "%s\n", status.Outputs)
 	}
+	if status.OutputsUnknown != "" && !p.asJSON {
+		printLine(p.out, "outputs unknown: "+status.OutputsUnknown)
+	}
 }
 
 // describeWorkflow describes the state of a workflow and of its steps on a line.
@@ -119,5 +122,8 @@
 		}
 		parts = append(parts, text)
 	}
+	if status.StepsUnknown != "" {
+		parts = append(parts, "(steps unknown: "+status.StepsUnknown+")")
+	}
 	return strings.Join(parts, "  ")
 }
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -14,7 +14,6 @@
 	"hash/fnv"
 	"log/slog"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,7 +71,9 @@
 
 // inspection is a workflow that another controller drives, replayed here for its status.
 type inspection struct {
-	mu          sync.Mutex // guards run and revision
+	// turn has a place for the one request that uses run and revision. The others wait for theirs only as
+	// long as their own time lasts, which they could not with a mutex.
+	turn        chan struct{}
 	run         *workflow.Run
 	revision    wire.Revision
 	requestedAt time.Time // when its status was last requested
@@ -80,12 +81,17 @@
 	archiveMissed atomic.Bool // the last pass could not read some of what is archived
 }
 
+// newInspection returns the inspection of a workflow that nobody has replayed yet.
+func newInspection() *inspection { return &inspection{turn: make(chan struct{}, 1)} }
+
 // drivenRun is a workflow that this controller drives.
 type drivenRun struct {
 	run      *workflow.Run
-	revision wire.Revision // of the record that it was made from
-	retryAt  time.Time     // no step before, after an error
-	steps    []wire.StepStatus
+	revision wire.Revision     // of the record that it was made from
+	retryAt  time.Time         // no step before, after an error
+	steps    []wire.StepStatus // all of them, as of the last whole pass; nil before the first
+
+	archiveMissed atomic.Bool // the last pass could not read some of what is archived
 }
 
 // Bounds of driving workflows.
@@ -194,17 +200,23 @@
 	if w.State == ledger.WorkflowCancelled {
 		maxSubmitted = 0
 	}
+	d.archiveMissed.Store(false)
 	submitted, ended, err := d.run.Step(ctx, now, maxSubmitted)
 	if w.State == ledger.WorkflowCancelled && ctx.Err() == nil {
-		err = r.cancelSteps(ctx, w, d)
+		err = cmp.Or(r.cancelSteps(ctx, w, d), err)
 	}
 	if err != nil {
 		d.retryAt = now.Add(driveRetryAfter)
 	}
-	steps := d.run.Steps(r.waitReason)
+	var steps []wire.StepStatus
+	if !d.run.Cut() && !d.archiveMissed.Load() {
+		steps = d.run.Steps(r.waitReason)
+	}
 	r.Cache.Lock()
 	defer r.Cache.Unlock()
-	d.steps = steps
+	if steps != nil {
+		d.steps = steps
+	}
 	if r.driven[w.ID] = d; ended {
 		delete(r.driven, w.ID)
 	}
@@ -221,7 +233,8 @@
 	if d != nil && d.revision == w.Version { // else it was resumed or cancelled since
 		return d, nil
 	}
-	run, err := r.resume(ctx, w, new(atomic.Bool))
+	d = &drivenRun{revision: w.Version}
+	run, err := r.resume(ctx, w, &d.archiveMissed)
 	if errors.Is(err, errNoDocuments) {
 		return nil, err
 	}
@@ -229,13 +242,15 @@
 		// The documents were checked when the workflow was accepted, perhaps by another version.
 		return nil, stepJobs{runner: r}.EndWorkflow(ctx, w.ID, ledger.WorkflowFailed, err.Error())
 	}
-	return &drivenRun{run: run, revision: w.Version}, nil
+	d.run = run
+	return d, nil
 }
 
-// cancelSteps cancels the steps' jobs of a cancelled workflow, and deletes its record once none is left.
+// cancelSteps cancels the steps' jobs of a cancelled workflow, and deletes its record once none is left. A
+// pass that could not read all of the archive may have missed some.
 func (r *Runner) cancelSteps(ctx context.Context, w *ledger.Workflow, d *drivenRun) error {
 	allGone, err := d.run.Cancel(ctx)
-	if !allGone || err != nil {
+	if !allGone || d.archiveMissed.Load() || err != nil {
 		return err
 	}
 	err = r.Committer.CommitNow(ctx, func(transaction *ledger.Transaction) error {
--- a/internal/workflow/runner/status.go
+++ b/internal/workflow/runner/status.go
@@ -17,7 +17,8 @@
 )
 
 // Status returns a workflow's state, at least as new as the call. The controller that drives it reports
-// its steps from the run, others replay them.
+// its steps from the run, others replay them. Steps and outputs are whole or left out: what can't be told
+// within the time of ctx is left out, and the status says why (docs/cwl.md, "Status").
 func (r *Runner) Status(ctx context.Context, id wire.WorkflowID) (wire.WorkflowStatus, error) {
 	if r.store == nil {
 		return wire.WorkflowStatus{}, ErrNoWorkflows
@@ -37,25 +38,41 @@
 		return st, server.ErrNoSuchJob
 	}
 	if !driven {
-		steps = r.inspect(ctx, w)
+		var err error
+		if steps, err = r.inspect(ctx, w); err != nil {
+			r.stats.Add("workflow_steps_unknown_total", 1)
+			r.log.Info("workflow's steps can't be told", "workflow", id, "err", err)
+			st.StepsUnknown = err.Error()
+		}
 	}
 	st.Steps, st.Reason, st.Status = steps, w.Why, statusOf(w.State)
 	if st.Status == wire.Done || st.Status == wire.Failed {
-		if b, _, err := r.store.Get(ctx, workflow.OutputsName(id)); err == nil && len(b) < maxOutputBytes {
-			st.Outputs = b
-		}
+		r.addOutputs(ctx, &st)
 	}
 	return st, nil
 }
 
+// addOutputs adds the outputs of a workflow that has ended to its status, or why they are left out.
+func (r *Runner) addOutputs(ctx context.Context, st *wire.WorkflowStatus) {
+	outputs, _, err := r.store.Get(ctx, workflow.OutputsName(st.ID))
+	switch {
+	case err != nil:
+		st.OutputsUnknown = fmt.Errorf("outputs can't be read: %w", err).Error()
+	case len(outputs) >= maxOutputBytes:
+		st.OutputsUnknown = fmt.Sprintf("outputs have %d bytes, more than a status takes", len(outputs))
+	default:
+		st.Outputs = outputs
+	}
+}
+
 // knownSteps returns a workflow's record, nil if it is not among the records, and its steps if this
-// controller drives it. A run of an earlier revision knows nothing of the end that another controller
-// recorded.
+// controller drives it and knows them all: it may have taken the workflow up only in part. A run of an
+// earlier revision knows nothing of the end that another controller recorded.
 func (r *Runner) knownSteps(id wire.WorkflowID) (w *ledger.Workflow, steps []wire.StepStatus, driven bool) {
 	r.Cache.Lock()
 	defer r.Cache.Unlock()
 	w = r.records().Workflow(id)
-	if d := r.driven[id]; d != nil && w != nil && d.revision == w.Version {
+	if d := r.driven[id]; d != nil && w != nil && d.revision == w.Version && d.steps != nil {
 		return w, d.steps, true
 	}
 	return w, nil, false
@@ -84,36 +101,48 @@
 	maxOutputBytes  = 48 << 10 // larger outputs are left out of the status
 )
 
+// Why a workflow's steps are left out of its status.
+var (
+	errTooManyInspections = errors.New("too many workflows are asked about here, ask again later")
+	errInspectionTime     = errors.New("steps could not be read in the request's time, ask again later")
+)
+
 // inspect replays the steps of a workflow that another controller drives, from its documents and jobs as
-// any driver would; nil if they can't be read, or too many workflows are inspected.
-func (r *Runner) inspect(ctx context.Context, record *ledger.Workflow) []wire.StepStatus {
+// any driver would. It returns all steps, or an error that says why they can't be told. A replay that is cut
+// short by the end of one request is gone on with by the next.
+func (r *Runner) inspect(ctx context.Context, record *ledger.Workflow) ([]wire.StepStatus, error) {
 	now := time.Now()
 	inspected := r.inspectionOf(record.ID, now)
 	if inspected == nil {
-		return nil
+		return nil, errTooManyInspections
 	}
-	inspected.mu.Lock()
-	defer inspected.mu.Unlock()
+	select {
+	case inspected.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errInspectionTime
+	}
+	defer func() { <-inspected.turn }()
 	if inspected.run == nil || inspected.revision != record.Version {
 		run, err := r.resume(context.WithoutCancel(ctx), record, &inspected.archiveMissed)
 		if err != nil {
-			return nil
+			return nil, err
 		}
 		run.Look()
 		inspected.run, inspected.revision = run, record.Version
 	}
 	for {
 		inspected.archiveMissed.Store(false)
-		if _, _, err := inspected.run.Step(ctx, now, 0); err != nil {
-			r.log.Debug("workflow not inspected", "workflow", record.ID, "err", err)
-		}
-		// Everything is known of a workflow that has ended, if not in one pass. Others may change any time.
-		if !record.Ended() || !inspected.run.Cut() && !inspected.archiveMissed.Load() || ctx.Err() != nil {
-			break
+		_, _, err := inspected.run.Step(ctx, now, 0)
+		switch {
+		case ctx.Err() != nil:
+			return nil, errInspectionTime
+		case err != nil:
+			return nil, fmt.Errorf("steps can't be read: %w", err)
+		case inspected.run.Whole(record.State) && !inspected.archiveMissed.Load():
+			return inspected.run.Steps(r.waitReason), nil
 		}
 		wait.For(ctx, inspectInterval)
 	}
-	return inspected.run.Steps(r.waitReason)
 }
 
 // inspectionOf returns the inspection of a workflow, begun if there is none; nil if there are too many.
@@ -128,7 +157,7 @@
 	}
 	inspected := r.inspected[id]
 	if inspected == nil && len(r.inspected) < maxInspected {
-		inspected = new(inspection)
+		inspected = newInspection()
 		r.inspected[id] = inspected
 	}
 	if inspected != nil {
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -121,7 +121,7 @@
 	run     *cwl.Run
 	out     map[string]*step
 	order   []string // of out
-	cut     bool     // the last pass ended early: more is under way than order tells
+	cut     bool     // the last pass ended early or failed: more may be under way than order tells
 	passive bool     // only looked at here: nothing is submitted, cancelled or ended
 	// resumed is how often the workflow was resumed: so many failures of a step are gone over.
 	resumed int
@@ -204,7 +204,7 @@
 	began := time.Now()
 	r.run.Enough = func() bool { return ctx.Err() != nil || time.Since(began) > mostLook }
 	err = r.observe(ctx, now)
-	r.cut = r.run.Enough()
+	r.cut = r.run.Enough() || err != nil
 	if r.passive {
 		_, _, over = r.run.Over()
 		return 0, over, err
@@ -260,9 +260,20 @@
 	return submitted, err
 }
 
-// Cut reports whether the last pass ended early: more is known of than it told.
+// Cut reports whether the last pass ended early or failed: there may be more than it told.
 func (r *Run) Cut() bool { return r.cut }
 
+// Whole reports whether the last pass told all that there is to tell of a workflow in a state. One that is
+// done has nothing left to run: a pass that finds something missed a job or a result.
+func (r *Run) Whole(state ledger.WorkflowState) bool {
+	if r.cut {
+		return false
+	}
+	_, failure, over := r.run.Over()
+	return state != ledger.WorkflowDone || over && failure == nil
+}
+
+// window returns how many steps may be under way at once.
 func (r *Run) window() int { return cmp.Or(r.Spec.Window, defaultWindow) }
 
 // look finds out what has come of a step's job, and reports whether the step moved on.
--- a/wire/workflows.go
+++ b/wire/workflows.go
@@ -69,9 +69,12 @@
 type WorkflowStatus struct {
 	ID      WorkflowID      `json:"id"`
 	Status  Status          `json:"status"`
-	Reason  string          `json:"why,omitempty"` // of a failure
-	Steps   []StepStatus    `json:"steps,omitempty"`
+	Reason  string          `json:"why,omitempty"`   // of a failure
+	Steps   []StepStatus    `json:"steps,omitempty"` // all of them, or none
 	Outputs json.RawMessage `json:"outputs,omitempty"`
+	// StepsUnknown and OutputsUnknown say why the steps or the outputs are left out; "" if they are not.
+	StepsUnknown   string `json:"steps_unknown,omitempty"`
+	OutputsUnknown string `json:"outputs_unknown,omitempty"`
 }
 
 // Failed is the status of a workflow of which a step failed for good. The steps that do not depend on it
