Jobs that wait for jobs: dependencies in records, submission, order and cascade

Change: JobSpec.Dependencies (awaits). A ledger derives from the records which jobs are ready, cancelled with an ancestor, and how urgent they are for those that need them; claims are refused before all dependencies are done on record. Submissions that name a job never accepted get 422, decided by a linearizable read of records and archive. Format 4 of the records, raised once the record of fencing tokens lists every controller as reading it: each start rewrites that record, and an older version drops the list.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -56,8 +56,19 @@
 	return others
 }
 
-// AllRead reports whether every controller has said that it supports a format of records.
-func (h host) AllRead(format int) bool { return h.c.membership.AllSupportFormat(format) }
+// AllRead reports whether every controller of the deployment runs a version that reads a format of records,
+// by the record of fencing tokens, which every start of a controller rewrites.
+func (h host) AllRead(format int) (all bool) {
+	members := []wire.MemberID{h.c.set.Member}
+	for _, p := range h.c.set.Peers {
+		members = append(members, p.Member)
+	}
+	h.Read(func(l *ledger.Ledger) {
+		token, _ := l.Token()
+		all = token.AllRead(members, format)
+	})
+	return all && len(members) == h.c.set.Cluster.Count
+}
 
 // SpareCapacity returns how many changes a best-effort transaction may have now.
 func (h host) SpareCapacity() int { return h.c.committer.SpareCapacity() }
--- a/internal/controller/components.go
+++ b/internal/controller/components.go
@@ -76,6 +76,9 @@
 		supervise.Component{Name: "writer", Run: c.committer.Run, HealthProblem: c.committer.HealthProblem},
 		supervise.Component{Name: "completions", Run: c.recorder.Run},
 		supervise.Component{Name: "sweeper", Run: c.Heartbeats.CompleteFinishedJobs},
+		supervise.Component{Name: "dependencies", Run: func(ctx context.Context) error {
+			return c.Jobs.FollowDependencies(ctx, host{c}.Leading)
+		}},
 		supervise.Component{Name: "publisher", Run: func(ctx context.Context) error {
 			return c.membership.Publish(ctx, c.store, c.publishedStatus)
 		}},
--- a/internal/controller/gauges.go
+++ b/internal/controller/gauges.go
@@ -52,6 +52,7 @@
 		_, active := l.Counts()
 		return float64(active)
 	})
+	c.gauge("jobs_waiting", func(l *ledger.Ledger) float64 { return float64(l.WaitingJobs()) })
 	c.gauge("jobs_finished", func(l *ledger.Ledger) float64 {
 		all, active := l.Counts()
 		return float64(all - active)
--- a/internal/leader/gangs.go
+++ b/internal/leader/gangs.go
@@ -68,7 +68,7 @@
 	change := &committer.Change{
 		Class:     committer.StartClass(placed.Entry.Overdue),
 		ExpiresAt: now.Add(gangStartTimeout),
-		Priority:  job.Spec.Priority,
+		Priority:  job.Priority(),
 		OnCommit:  func() { l.log.Info("gang started", "job", id, "tasks", tasks, "machines", len(parts)) },
 		Draft: func(txn *ledger.Transaction) error {
 			job := l.records().Job(id)
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -117,17 +117,6 @@
 	return last
 }
 
-// AllSupportFormat reports whether every other controller of the deployment reads a format of records,
-// by its recent status.
-func (m *Membership) AllSupportFormat(format int) bool {
-	for _, o := range m.Others(time.Now()) {
-		if o.Peer == nil || o.Peer.Status.MaxFormat < format {
-			return false
-		}
-	}
-	return m.allConfigured()
-}
-
 // CancellationsConfirmedUntil returns the time until which every other controller confirms that it has
 // acknowledged no cancellation that records at a revision lack; false: one of them does not confirm
 // it. The cancellations that peers list must have been merged into the records before.
--- a/internal/scheduler/latest_start.go
+++ b/internal/scheduler/latest_start.go
@@ -32,7 +32,7 @@
 		return startBounds{latest: latest}
 	}
 	machineType, _ := s.records().MachineType(s.firstType(j))
-	forBound := placement.LatestStart(j.Accepted.Time(), bound, j.Spec.ImageGB, machineType.FetchGBps)
+	forBound := placement.LatestStart(j.EligibleSince().Time(), bound, j.Spec.ImageGB, machineType.FetchGBps)
 	overdue := !e.CrashLooping && !now.Before(forBound)
 	if overdue || latest.IsZero() || forBound.Before(latest) {
 		latest = forBound
@@ -53,14 +53,15 @@
 
 // latestForObjectives returns when the job's tasks must start for it to meet the strictest of its
 // objectives that can still be met; the zero time if none can. expected is how long a task runs; as
-// a margin it is taken half longer for an objective, and a quarter longer for a deadline.
+// a margin it is taken half longer for an objective, and a quarter longer for a deadline. Objectives count from
+// when the job could first start, deadlines from its submission, also those of the jobs that need it.
 func (s *Scheduler) latestForObjectives(
 	j *ledger.Job,
 	overGuarantee bool,
 	expected time.Duration,
 	now time.Time,
 ) time.Time {
-	accepted := j.Accepted.Time()
+	eligible := j.EligibleSince().Time()
 	var earliest time.Time
 	consider := func(t time.Time) {
 		if t.After(now) && (earliest.IsZero() || t.Before(earliest)) {
@@ -74,17 +75,17 @@
 		within := o.Within.Duration()
 		switch o.Kind {
 		case objectiveWait:
-			consider(accepted.Add(within))
+			consider(eligible.Add(within))
 		case objectiveGuarantee:
 			if !overGuarantee {
-				consider(accepted.Add(within))
+				consider(eligible.Add(within))
 			}
 		case objectiveFinished:
-			consider(accepted.Add(within - expected*3/2))
+			consider(eligible.Add(within - expected*3/2))
 		}
 	}
-	if j.Spec.Deadline != nil {
-		consider(accepted.Add(j.Spec.Deadline.Duration() - expected*5/4))
+	if due := j.DueBy(); !due.IsZero() {
+		consider(due.Add(-expected * 5 / 4))
 	}
 	return earliest
 }
--- a/internal/scheduler/placement/eligibility.go
+++ b/internal/scheduler/placement/eligibility.go
@@ -26,7 +26,7 @@
 // eligible reports whether the job's own constraints and state allow tasks on a machine at now.
 func eligible(e *Entry, now time.Time, m *Machine) bool {
 	j := e.Job
-	if m.Slow && (j.GangSize() > 1 || j.Spec.Deadline != nil) {
+	if m.Slow && (j.GangSize() > 1 || !j.DueBy().IsZero()) {
 		return false // a gang runs as fast as its slowest task, and a deadline would be missed
 	}
 	if m.Spot && e.AvoidSpot {
--- a/internal/scheduler/placement/entry.go
+++ b/internal/scheduler/placement/entry.go
@@ -67,7 +67,7 @@
 // standing returns the priority and whether the job exceeds its team's guarantee, as a number: the
 // lower goes first.
 func (e *Entry) standing() uint32 {
-	g := uint32(e.Job.Spec.Priority.Rank()+1) << 1 // 0: no known priority
+	g := uint32(e.Job.Priority().Rank()+1) << 1 // 0: no known priority
 	if e.OverGuarantee {
 		g++
 	}
--- a/internal/scheduler/placement/preempt.go
+++ b/internal/scheduler/placement/preempt.go
@@ -24,11 +24,14 @@
 // mayPreempt reports whether the rules of preemption let a job's start stop the victim: it is of a
 // lower priority, or another team's work over its guarantee while the job is within its own.
 func mayPreempt(e *Entry, x *Victim) bool {
-	job, victim := e.Job.Spec, x.Held.Job.Spec
+	job, victim := e.Job, x.Held.Job
 	if x.Promised && !e.AlmostOverdue {
 		return false
 	}
-	return victim.Priority.Rank() > job.Priority.Rank() || job.Team != victim.Team && x.Beyond && !e.OverGuarantee
+	if victim.Priority().Rank() > job.Priority().Rank() {
+		return true
+	}
+	return job.Spec.Team != victim.Spec.Team && x.Beyond && !e.OverGuarantee
 }
 
 // maxUnsavedWork is how much unsaved work one victim may lose.
@@ -85,7 +88,7 @@
 
 // add adds a claim.
 func (w *workSummary) add(x *Victim) {
-	w.lowestRank = max(w.lowestRank, x.Held.Job.Spec.Priority.Rank())
+	w.lowestRank = max(w.lowestRank, x.Held.Job.Priority().Rank())
 	w.overGuarantee = w.overGuarantee || x.Beyond
 }
 
@@ -146,7 +149,7 @@
 func newEvictionKey(e *Entry) evictionKey {
 	spec := e.Job.Spec
 	k := evictionKey{
-		priority:      spec.Priority,
+		priority:      e.Job.Priority(),
 		team:          spec.Team,
 		overGuarantee: e.OverGuarantee,
 		almostOverdue: e.AlmostOverdue,
@@ -217,7 +220,7 @@
 	if e.AlmostOverdue {
 		w = s.preemption.preemptable.byAlmostOverdue
 	}
-	return w.lowestRank > j.Spec.Priority.Rank() || w.overGuarantee && !e.OverGuarantee
+	return w.lowestRank > j.Priority().Rank() || w.overGuarantee && !e.OverGuarantee
 }
 
 // summarizePreemptable sums up what may be preempted on all machines.
--- a/internal/scheduler/placement/queue_order.go
+++ b/internal/scheduler/placement/queue_order.go
@@ -61,7 +61,7 @@
 	for i := range entries {
 		e := &entries[i]
 		s := e.Job.Spec
-		j := JobOf(s, e.Job.Need, e.Job.Accepted)
+		j := JobOf(s, e.Job.Need, e.Job.EligibleSince())
 		j.Group = e.group()
 		j.Waiting, j.Expected = e.Waiting.Milliseconds(), e.Expected.Milliseconds()
 		j.Pending, j.Running = uint32(e.pending()), uint32(e.Job.Claimed)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -182,7 +182,7 @@
 	if !s.latestForObjectives(j, false, s.runTimes.Expected(j), restart).IsZero() {
 		return true
 	}
-	if j.Spec.Deadline != nil {
+	if !j.DueBy().IsZero() {
 		return false
 	}
 	return !slices.ContainsFunc(
--- a/internal/server/api/responses.go
+++ b/internal/server/api/responses.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
 
 	"maddermill/internal/server"
 	"maddermill/internal/state/kvstore"
+	"maddermill/internal/state/ledger"
 	"maddermill/internal/transport"
 	"maddermill/internal/transport/http1"
 	"maddermill/internal/workflow/cwl"
@@ -83,6 +85,8 @@
 		return problem(404, errNoSuchJob)
 	case errors.Is(err, server.ErrUnschedulable):
 		return problem(422, oneLine(err))
+	case errors.Is(err, ledger.ErrTooManyDependencies):
+		return problem(400, fmt.Errorf("field %q %w", "awaits", ledger.ErrTooManyDependencies))
 	case errors.Is(err, kvstore.ErrUnreachable):
 	default:
 		s.Log.Error("request failed", "job", id, "err", err)
--- /dev/null
+++ b/internal/server/dependencies.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"maddermill/internal/state/kvstore"
+	"maddermill/internal/state/ledger"
+	"maddermill/wire"
+)
+
+// Reasons why a job can't be accepted for the jobs that it names, joined to ErrUnschedulable.
+var (
+	errUnknownDependency = errors.New("awaits a job that was never accepted")
+	errServiceDependency = errors.New("awaits a service, which is never done")
+)
+
+// dependencies are what is known of the jobs that a submission names.
+type dependencies struct {
+	missing  []wire.JobID // that are not on record
+	archived map[wire.JobID]ledger.FinalRecord
+}
+
+// resolveDependencies finds out about the jobs that a submission names. Those that are on record were
+// accepted; the others are looked for in the archive once the records are of a revision after the call, so
+// that one which is in neither was never accepted. The error is ErrUnschedulable joined with the reason, or
+// wraps kvstore.ErrUnreachable if that can't be decided now.
+func (s *JobServer) resolveDependencies(ctx context.Context, spec *wire.JobSpec) (dependencies, error) {
+	if len(spec.Dependencies) == 0 {
+		return dependencies{}, nil
+	}
+	known, err := s.dependenciesOnRecord(spec)
+	if err != nil || len(known.missing) == 0 {
+		return known, err
+	}
+	if err := s.Cache.ReadIndex(ctx); err != nil {
+		return known, err
+	}
+	if known, err = s.dependenciesOnRecord(spec); err != nil {
+		return known, err
+	}
+	known.archived = map[wire.JobID]ledger.FinalRecord{}
+	for _, id := range known.missing {
+		status, err := s.Archived(ctx, id)
+		switch {
+		case errors.Is(err, ErrNoSuchJob):
+			return known, errors.Join(ErrUnschedulable, fmt.Errorf("%w: %s", errUnknownDependency, id))
+		case err != nil:
+			return known, err
+		}
+		known.archived[id] = finalRecordOf(status)
+	}
+	return known, nil
+}
+
+// finalRecordOf returns the final record by which a job has a status.
+func finalRecordOf(status wire.JobStatus) ledger.FinalRecord {
+	if status.Status == wire.Cancelled {
+		return ledger.FinalRecord{State: ledger.Cancelled}
+	}
+	return ledger.FinalRecord{State: ledger.Done}
+}
+
+// dependenciesOnRecord lists the jobs that a submission names and that are not on record. The errors are
+// those of resolveDependencies.
+func (s *JobServer) dependenciesOnRecord(spec *wire.JobSpec) (known dependencies, err error) {
+	s.Cache.Lock()
+	defer s.Cache.Unlock()
+	if format, _ := s.records().Format(); format.Format < ledger.PipelineFormat {
+		return known, errors.Join(kvstore.ErrUnreachable, ledger.ErrOlderFormat)
+	}
+	for _, id := range spec.Dependencies {
+		if _, over := s.records().ArchivedState(id); over {
+			continue
+		}
+		job := s.records().Job(id)
+		switch {
+		case job == nil:
+			known.missing = append(known.missing, id)
+		case job.Spec.Shape == wire.Service:
+			return known, errors.Join(ErrUnschedulable, fmt.Errorf("%w: %s", errServiceDependency, id))
+		}
+	}
+	return known, nil
+}
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -24,6 +24,9 @@
 	ErrUnschedulable = errors.New("can never run")
 )
 
+// maxWaitingShown is how many of the jobs that a job waits for its status names.
+const maxWaitingShown = 20
+
 // loadWait is how long a submission waits for the records of a controller that has just started.
 const loadWait = time.Second
 
@@ -76,28 +79,40 @@
 	}
 	//nolint:contextcheck // the policy is asked under the lock, within its own time limit
 	known, refusal := s.check(spec)
+	if !known && refusal == nil {
+		refusal = s.accept(ctx, spec)
+	}
 	switch {
-	case refusal != nil && !errors.Is(refusal, ErrUnschedulable):
+	case !known && refusal == nil:
+		return s.acceptedStatus(spec.ID), true, nil
+	case errors.Is(refusal, ledger.ErrPreconditionFailed):
+		refusal = nil // the job was submitted elsewhere meanwhile
+	case refusal != nil && !refusedForGood(refusal):
 		return st, false, refusal
-	case refusal != nil:
-		// A job that was accepted is never refused later, whatever has changed since.
-		st, err := s.Status(ctx, spec.ID)
-		if errors.Is(err, ErrNoSuchJob) {
-			err = refusal
-		}
-		return st, false, err
-	case !known:
-		if err := s.commitSubmission(ctx, spec); err == nil {
-			return s.acceptedStatus(spec.ID), true, nil
-		} else if !errors.Is(err, ledger.ErrPreconditionFailed) {
-			return st, false, err
-		}
-		// The job was submitted elsewhere meanwhile.
 	}
+	// A job that was accepted is never refused later, whatever has changed since.
 	st, err = s.Status(ctx, spec.ID)
+	if refusal != nil && errors.Is(err, ErrNoSuchJob) {
+		err = refusal
+	}
 	return st, false, err
 }
 
+// refusedForGood reports whether a submission was refused for what it says, and not for now.
+func refusedForGood(refusal error) bool {
+	return errors.Is(refusal, ErrUnschedulable) || errors.Is(refusal, ledger.ErrTooManyDependencies)
+}
+
+// accept makes a job durable that the records don't know and that may run. The error is that of
+// commitSubmission, or says why the job can't be accepted for the jobs that it names.
+func (s *JobServer) accept(ctx context.Context, spec *wire.JobSpec) error {
+	named, err := s.resolveDependencies(ctx, spec)
+	if err != nil {
+		return err
+	}
+	return s.commitSubmission(ctx, spec, named)
+}
+
 // check reports whether the records know a job and, if not, why it can't be accepted; nil if it can.
 func (s *JobServer) check(spec *wire.JobSpec) (known bool, refusal error) {
 	s.Cache.Lock()
@@ -110,19 +125,28 @@
 }
 
 // commitSubmission makes a job durable. The error is ledger.ErrPreconditionFailed if the job has become
-// known meanwhile, ErrUnschedulable if its record would be too large.
-func (s *JobServer) commitSubmission(ctx context.Context, spec *wire.JobSpec) error {
+// known meanwhile, ErrUnschedulable if its record would be too large, ledger.ErrTooManyDependencies if that is
+// for the jobs that it names.
+func (s *JobServer) commitSubmission(ctx context.Context, spec *wire.JobSpec, named dependencies) error {
 	at := wire.UnixMillis(time.Now().UnixMilli())
 	err := s.Committer.CommitNow(ctx, func(txn *ledger.Transaction) error {
-		return txn.SubmitToGallery(spec, at, s.Deadlines.GalleryOf(spec, ""))
+		return txn.SubmitJob(ledger.Submission{
+			Spec:     spec,
+			At:       at,
+			Gallery:  s.Deadlines.GalleryOf(spec, ""),
+			Archived: named.archived,
+		})
 	})
 	switch {
 	case err == nil:
-		s.log.Info("job accepted", "job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks)
+		s.log.Info("job accepted",
+			"job", spec.ID, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "awaits", len(spec.Dependencies))
 		s.stats.Add("jobs_accepted_total", 1)
 		return nil
 	case errors.Is(err, ledger.ErrTooLarge):
 		return errors.Join(ErrUnschedulable, err)
+	case errors.Is(err, ledger.ErrUnknownDependency): // one was archived meanwhile
+		return errors.Join(kvstore.ErrUnreachable, err)
 	}
 	return err
 }
@@ -179,7 +203,12 @@
 		return wire.JobStatus{}, false
 	}
 	done, running := job.Done, job.Claimed
-	return wire.JobStatus{ID: job.ID, Status: job.Status(), Done: &done, Running: &running}, true
+	status := wire.JobStatus{ID: job.ID, Status: job.Status(), Done: &done, Running: &running}
+	if status.Status == wire.Queued {
+		status.WaitingFor = job.WaitingFor()
+		status.WaitingFor = status.WaitingFor[:min(len(status.WaitingFor), maxWaitingShown)]
+	}
+	return status, true
 }
 
 // Cancel cancels a job and returns its final status: cancelled, or done if it was done before. The error is
--- a/internal/server/reconcile/exits.go
+++ b/internal/server/reconcile/exits.go
@@ -33,7 +33,7 @@
 		}
 		changes = append(changes, &committer.Change{
 			Class:    class,
-			Priority: job.Spec.Priority,
+			Priority: job.Priority(),
 			Draft: func(txn *ledger.Transaction) error {
 				return draftExits(cache.Records(), txn, job.ID, jobExits)
 			},
--- a/internal/server/starts.go
+++ b/internal/server/starts.go
@@ -83,12 +83,12 @@
 	var claimed []placement.Start // by the latest run of the draft
 	overdue := slices.ContainsFunc(starts, func(start placement.Start) bool { return start.Overdue })
 	mostUrgent := slices.MinFunc(starts, func(a, b placement.Start) int {
-		return cmp.Compare(a.Job.Spec.Priority.Rank(), b.Job.Spec.Priority.Rank())
+		return cmp.Compare(a.Job.Priority().Rank(), b.Job.Priority().Rank())
 	})
 	return &committer.Change{
 		Class:     committer.StartClass(overdue),
 		ExpiresAt: expiresAt,
-		Priority:  mostUrgent.Job.Spec.Priority,
+		Priority:  mostUrgent.Job.Priority(),
 		OnCommit: func() {
 			for _, start := range claimed {
 				s.log.Info("task started",
--- a/internal/state/archiver/archiver.go
+++ b/internal/state/archiver/archiver.go
@@ -134,7 +134,7 @@
 func (a *Archiver) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait.For(ctx, runEvery)
-		if !a.host.Leading() || !a.opt.Archive || a.opt.TxnOps < minTxnOps {
+		if !a.host.Leading() {
 			a.mover.backlog.clear()
 			continue
 		}
@@ -143,10 +143,10 @@
 		if format.Format < SupportedFormat(a.opt.FormatUpTo) {
 			a.upgradeFormat(ctx, time.Now())
 		}
-		if format.Format < ledger.ArchiveFormat || !a.settled(format) {
-			continue
+		archives := a.opt.Archive && a.opt.TxnOps >= minTxnOps
+		if archives && format.Format >= ledger.ArchiveFormat && a.settled(format) {
+			a.moveAll(ctx)
 		}
-		a.moveAll(ctx)
 	}
 	return ctx.Err()
 }
--- a/internal/state/ledger/apply.go
+++ b/internal/state/ledger/apply.go
@@ -192,13 +192,13 @@
 	return nil
 }
 
-// applyNewer decodes a record over the earlier one unless it is older or a deletion: these records are
-// never deleted.
-func applyNewer(e Event, version *wire.Revision, record any) error {
+// applyNewer replaces a record by a newer one. Deletions are ignored: these records are never deleted.
+func applyNewer[T any](e Event, version *wire.Revision, record *T) error {
 	if e.Value == nil || e.Version <= *version {
 		return nil
 	}
 	*version = e.Version
+	*record = *new(T) // an older version may have left fields out
 	return json.Unmarshal(e.Value, record)
 }
 
--- a/internal/state/ledger/apply_job.go
+++ b/internal/state/ledger/apply_job.go
@@ -42,11 +42,7 @@
 	j.State, j.Stop, j.finalDone, j.Ended = r.State, r.Stop, r.FinalDone, r.Ended
 	l.updateGalleryCount(j)
 	l.replaceRange(j, 0, &TaskRange{Version: e.Version, taskRangeRecord: r.taskRangeRecord})
-	if j.State == Active {
-		l.active[id] = j
-	} else {
-		delete(l.active, id)
-	}
+	l.applyJobState(j)
 	if err := l.adoptOrphanRanges(j); err != nil {
 		return err
 	}
@@ -54,6 +50,22 @@
 	return nil
 }
 
+// applyJobState brings the indexes of active jobs and of dependencies up to the state of a job.
+func (l *Ledger) applyJobState(j *Job) {
+	wasActive := l.active[j.ID] != nil
+	switch {
+	case j.State == Active && !wasActive:
+		l.active[j.ID] = j
+		l.linkDependencies(j)
+	case j.State != Active:
+		if wasActive {
+			delete(l.active, j.ID)
+			l.unlinkDependencies(j)
+		}
+		l.finishDependency(j.ID, j.State, j.Ended)
+	}
+}
+
 // applyFinishedJob applies a change of a job that is kept in the short form. It reports whether nothing
 // is left to do: a newer record is still to be read, by which the job is whole again.
 func (l *Ledger) applyFinishedJob(id wire.JobID, e Event) (handled bool) {
@@ -211,7 +223,10 @@
 		l.replaceRange(j, n, &TaskRange{})
 	}
 	delete(l.jobs, j.ID)
-	delete(l.active, j.ID)
+	if l.active[j.ID] != nil {
+		delete(l.active, j.ID)
+		l.unlinkDependencies(j)
+	}
 }
 
 // compactFinished replaces a job by its short form if only its end can still be asked for.
@@ -222,6 +237,7 @@
 			done:      int32(j.DoneTasks()),
 			cancelled: j.State == Cancelled,
 			gallery:   j.Gallery,
+			ended:     j.Ended,
 		}
 		delete(l.jobs, j.ID)
 	}
--- a/internal/state/ledger/archive.go
+++ b/internal/state/ledger/archive.go
@@ -42,6 +42,7 @@
 	done      int32         // tasks done
 	cancelled bool
 	gallery   wire.GalleryName
+	ended     wire.UnixMillis // when it was done, if that is on record
 }
 
 // final returns the record that the archive keeps of it.
@@ -85,8 +86,12 @@
 }
 
 // Archivable reports whether a job is on record, finished, and proven to run nowhere. Jobs of a workflow
-// or gallery that has not ended are not archivable: its state follows from them.
+// or gallery that has not ended are not archivable: its state follows from them. Neither are those that
+// active jobs name.
 func (l *Ledger) Archivable(id wire.JobID) bool {
+	if len(l.dependencies.dependents[id]) > 0 {
+		return false
+	}
 	if finished, ok := l.archived.finished[id]; ok {
 		return !l.galleryOpen(finished.gallery)
 	}
@@ -101,10 +106,9 @@
 // EachFinished calls f for every archivable job, with the revision of its last change.
 func (l *Ledger) EachFinished(f func(wire.JobID, wire.Revision)) {
 	for id, finished := range l.archived.finished {
-		if l.galleryOpen(finished.gallery) {
-			continue
+		if l.Archivable(id) {
+			f(id, finished.version)
 		}
-		f(id, finished.version)
 	}
 	for id, j := range l.jobs {
 		if l.active[id] == nil && l.Archivable(id) {
--- a/internal/state/ledger/errors.go
+++ b/internal/state/ledger/errors.go
@@ -16,6 +16,12 @@
 	ErrTooLarge = errors.New("ledger: record too large")
 	// ErrNoPage says that a page of the archive's filter must be read first; see PutFilterPage.
 	ErrNoPage = errors.New("ledger: a page of the filter is not known")
+	// ErrUnknownDependency says that a job names one that is not on record.
+	ErrUnknownDependency = errors.New("ledger: names a job that is not on record")
+	// ErrOlderFormat says that the records' format does not know what a change needs yet.
+	ErrOlderFormat = errors.New("ledger: not before all controllers have the new version")
+	// ErrTooManyDependencies says that a job names more others than its record has room for.
+	ErrTooManyDependencies = errors.New("names more jobs than can be kept")
 	// ErrManyDates says that a gallery's date was changed as often as its record has room for.
 	ErrManyDates = errors.New("ledger: the date was changed too often")
 )
--- a/internal/state/ledger/format.go
+++ b/internal/state/ledger/format.go
@@ -12,7 +12,9 @@
 	OldestFormat  = 1
 	ArchiveFormat = 2 // finished jobs and workflows are archived
 	GalleryFormat = 3 // jobs may belong to galleries
-	NewestFormat  = GalleryFormat
+	// PipelineFormat has jobs that wait for others.
+	PipelineFormat = 4
+	NewestFormat   = PipelineFormat
 )
 
 // FormatRecord is the format of the records. It only rises, once every controller reads the new one.
--- a/internal/state/ledger/gallery_test.go
+++ b/internal/state/ledger/gallery_test.go
@@ -94,7 +94,9 @@
 	case kind == 1:
 		_ = txn.OpenGallery(name, "free", ledger.Promise{At: now, Date: now + 500}, register)
 	case (kind == 3 || kind == 4) && j == nil:
-		_ = txn.SubmitToGallery(arraySpec(id, 1), now, []*ledger.Gallery{nil, g}[h.rng.IntN(2)])
+		_ = txn.SubmitJob(ledger.Submission{
+			Spec: arraySpec(id, 1), At: now, Gallery: []*ledger.Gallery{nil, g}[h.rng.IntN(2)],
+		})
 	case kind == 7 && j != nil:
 		if _, err := txn.Claim(j, target(1, 0), 1, nil); err == nil && h.rng.IntN(2) == 0 {
 			_, _ = txn.Cancel(j)
--- a/internal/state/ledger/job.go
+++ b/internal/state/ledger/job.go
@@ -17,11 +17,18 @@
 	Done     int              // tasks done
 	Claimed  int              // tasks claimed
 	Gallery  wire.GalleryName // that it belongs to, "" if none
-	Ended    wire.UnixMillis  // when it was done, if it belongs to a gallery
+	Ended    wire.UnixMillis  // when it was done, if that is on record
 	Workflow wire.WorkflowID  // that it is a step of, "" if none
 	// Cancelling says that the job will be cancelled: its workflow is, or the job is by the ledger of
 	// another controller. Nothing of it starts any more.
 	Cancelling bool
+	// AncestorCancelled says that a job which it needs, directly or through others, is cancelled, and so it
+	// is, too. Its own record is to follow.
+	AncestorCancelled bool
+
+	waitingFor map[wire.JobID]struct{} // dependencies that are not done on record
+	readyAt    wire.UnixMillis         // when the last dependency was done, as far as it is on record
+	urgency    urgency                 // its own and that of the jobs that need it; empty if it is not active
 
 	ranges        map[int]*TaskRange // the ranges on record by number; range 0 is always there
 	tasksPerRange int                // tasks that share a record
@@ -29,9 +36,9 @@
 }
 
 // Pending returns the number of tasks that may be claimed: neither done nor claimed, 0 if the job is over
-// or cancelling.
+// or cancelling, or waits for others.
 func (j *Job) Pending() int {
-	if j.State != Active || j.Cancelling {
+	if j.State != Active || j.Cancelling || !j.Ready() {
 		return 0
 	}
 	return j.Spec.Tasks - j.Done - j.Claimed
@@ -51,7 +58,7 @@
 
 // BestEffort reports whether a job only uses the capacity that others leave: of machines, and of the
 // budget of changes to the store.
-func (j *Job) BestEffort() bool { return j.Spec.Priority == wire.BestEffort }
+func (j *Job) BestEffort() bool { return j.Priority() == wire.BestEffort }
 
 // TaskDone reports whether a task is on record as done.
 func (j *Job) TaskDone(t wire.TaskIndex) bool {
@@ -80,7 +87,7 @@
 // Status returns the status that the API shows.
 func (j *Job) Status() wire.Status {
 	switch {
-	case j.State == Cancelled:
+	case j.State == Cancelled || j.State == Active && j.AncestorCancelled:
 		return wire.Cancelled
 	case j.State == Done:
 		return wire.Done
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -17,6 +17,7 @@
 	orphanRanges    map[string]Event    // task ranges that arrived before their job, by key
 	claimsByMachine map[wire.MachineID][]HeldClaim
 	archived        archiveIndex
+	dependencies    dependencyIndex
 
 	teamUsage    map[wire.Team]Resources     // the sum of the claims
 	teamVersions map[wire.Team]wire.Revision // of the record that starts of a limited team rewrite
@@ -74,6 +75,7 @@
 		machineTypes:    map[wire.MachineTypeName]wire.MachineType{},
 		workflows:       map[wire.WorkflowID]*Workflow{},
 		archived:        newArchiveIndex(),
+		dependencies:    newDependencyIndex(),
 		modules:         map[wire.ModuleHash]ModuleRecord{},
 	}
 }
--- a/internal/state/ledger/records.go
+++ b/internal/state/ledger/records.go
@@ -1,6 +1,11 @@
 package ledger
 
-import "maddermill/wire"
+import (
+	"maps"
+	"slices"
+
+	"maddermill/wire"
+)
 
 // JobState is the durable state of a job.
 type JobState string
@@ -30,7 +35,7 @@
 	FinalDone int             `json:"kept,omitempty"`  // tasks done, once the ranges are being deleted
 
 	Gallery wire.GalleryName `json:"g,omitempty"` // that it belongs to
-	Ended   wire.UnixMillis  `json:"e,omitempty"` // when it was done, if it belongs to one
+	Ended   wire.UnixMillis  `json:"e,omitempty"` // when it was done; before PipelineFormat only if it belongs to one
 	taskRangeRecord
 }
 
@@ -62,6 +67,10 @@
 	// Reads is the newest format that every controller reads that ever took a token. Versions that
 	// know only one format leave it out.
 	Reads int `json:"r,omitempty"`
+	// Readers has the newest format that each controller reads. Versions before PipelineFormat leave it
+	// out, and every controller takes a token when it starts: whoever is listed runs a version that knows
+	// the list, and so does everybody else that has started since (DESIGN, "Two versions at once").
+	Readers map[wire.MemberID]int `json:"v,omitempty"`
 }
 
 // Next returns the record with which a controller takes the token last. reads is the newest format that
@@ -71,9 +80,27 @@
 	if r.Last == 0 {
 		n.Reads = reads
 	}
+	n.Readers = maps.Clone(r.Readers)
+	if n.Readers == nil {
+		n.Readers = map[wire.MemberID]int{}
+	}
+	n.Readers[by] = reads
+	return n
+}
+
+// Declared returns the record with which a controller that has a token states again what it reads: a start
+// of an older version has removed it. No token is taken.
+func (r TokenRecord) Declared(by wire.MemberID, reads int) TokenRecord {
+	n := r.Next(r.Last, by, reads)
+	n.By = r.By
 	return n
 }
 
+// AllRead reports whether all of the members read a format.
+func (r TokenRecord) AllRead(members []wire.MemberID, format int) bool {
+	return !slices.ContainsFunc(members, func(m wire.MemberID) bool { return r.Readers[m] < format })
+}
+
 // LeaderRecord names the leader of the fleet and the token of its term.
 type LeaderRecord struct {
 	Member wire.MemberID     `json:"by"`
--- a/internal/state/ledger/transaction_claims.go
+++ b/internal/state/ledger/transaction_claims.go
@@ -265,9 +265,9 @@
 }
 
 // requireTarget returns ErrPreconditionFailed unless a job may start on a machine, and adds the condition
-// that the machine is in no phase.
+// that the machine is in no phase. That all dependencies are done needs no condition: done is final.
 func (txn *Transaction) requireTarget(update *jobUpdate, target ClaimTarget) error {
-	if update.state != Active || !Allowed(update.spec, target.Type, target.Zone, target.Spot) {
+	if update.state != Active || !update.job.Ready() || !Allowed(update.spec, target.Type, target.Zone, target.Spot) {
 		return ErrPreconditionFailed
 	}
 	if txn.ledger.MachinePhase(target.Machine) != "" || txn.phases[target.Machine] != "" {
--- a/internal/state/ledger/transaction_galleries.go
+++ b/internal/state/ledger/transaction_galleries.go
@@ -34,10 +34,10 @@
 // SetTime sets the time that transitions record.
 func (txn *Transaction) SetTime(now wire.UnixMillis) { txn.now = now }
 
-// completeJob makes a job done, and records when if it belongs to a gallery.
+// completeJob makes a job done, and records when if it belongs to a gallery or others may wait for it.
 func (txn *Transaction) completeJob(update *jobUpdate) {
 	update.state = Done
-	if update.gallery != "" {
+	if update.gallery != "" || txn.ledger.archived.format.Format >= PipelineFormat {
 		update.ended = txn.now
 	}
 }
@@ -52,12 +52,6 @@
 	return true
 }
 
-// SubmitToGallery is Submit for a job of a gallery, nil for none. It returns ErrPreconditionFailed also if
-// the gallery has ended.
-func (txn *Transaction) SubmitToGallery(spec *wire.JobSpec, at wire.UnixMillis, g *Gallery) error {
-	return txn.submit(spec, at, "", g)
-}
-
 // AssignGallery adds a job to a gallery that was not known when the job was accepted.
 func (txn *Transaction) AssignGallery(j *Job, g *Gallery) error {
 	return txn.atomically(func() error {
--- a/internal/state/ledger/transaction_jobs.go
+++ b/internal/state/ledger/transaction_jobs.go
@@ -7,18 +7,35 @@
 	"maddermill/wire"
 )
 
+// Submission is a job to be accepted, with what else its record depends on.
+type Submission struct {
+	Spec     *wire.JobSpec
+	At       wire.UnixMillis // the time of the acceptance
+	Gallery  *Gallery        // that it belongs to; nil for none
+	workflow *Workflow       // that it is a step of; nil for none
+	// Archived has the final records of those of its dependencies that are archived.
+	Archived map[wire.JobID]FinalRecord
+}
+
 // Submit accepts a job. It returns ErrPreconditionFailed if the job is on record. That it is not in the
 // archive either is a condition, and final records are never deleted: however late the transaction is
-// committed, a finished job is not accepted again.
+// committed, a finished job is not accepted again. Dependencies that are done are left out of the record;
+// with one that is cancelled the job is accepted as cancelled. Both are final, so no condition is needed.
 func (txn *Transaction) Submit(spec *wire.JobSpec, at wire.UnixMillis) error {
-	return txn.submit(spec, at, "", nil)
+	return txn.SubmitJob(Submission{Spec: spec, At: at})
 }
 
-// submit is Submit for a job of a workflow, "" for none, and of a gallery, nil for none.
-func (txn *Transaction) submit(spec *wire.JobSpec, at wire.UnixMillis, workflow wire.WorkflowID, g *Gallery) error {
+// SubmitJob is Submit for a job that may belong to a gallery and may name archived jobs. It returns
+// ErrPreconditionFailed also if the gallery has ended, ErrUnknownDependency if a job is named that is neither
+// on record nor in Archived, ErrOlderFormat or ErrTooManyDependencies.
+func (txn *Transaction) SubmitJob(s Submission) error {
 	limits := &txn.ledger.limits
-	if _, over := txn.ledger.ArchivedState(spec.ID); over || txn.ledger.jobs[spec.ID] != nil {
-		return refuse("submit job", spec.ID)
+	if _, over := txn.ledger.ArchivedState(s.Spec.ID); over || txn.ledger.jobs[s.Spec.ID] != nil {
+		return refuse("submit job", s.Spec.ID)
+	}
+	spec, state, err := txn.resolveDependencies(&s)
+	if err != nil {
+		return err
 	}
 	return txn.atomically(func() error {
 		if spec.Shape == wire.Gang && spec.Tasks > (limits.TxnOps-1)*limits.TasksPerRange() {
@@ -27,16 +44,19 @@
 		j := &Job{
 			ID:            spec.ID,
 			Spec:          spec,
-			Accepted:      at,
-			Workflow:      workflow,
+			Accepted:      s.At,
+			State:         state,
 			tasksPerRange: txn.ledger.longRangeTasks(spec),
 		}
+		if s.workflow != nil {
+			j.Workflow = s.workflow.ID
+		}
 		long := j.tasksPerRange > 0
 		if !long {
 			j.tasksPerRange = limits.TasksPerRange()
 		}
 		update := txn.update(j)
-		if g != nil && !txn.assignGallery(update, g) {
+		if s.Gallery != nil && !txn.assignGallery(update, s.Gallery) {
 			return refuse("submit job", spec.ID)
 		}
 		txn.putRange(update, 0)
@@ -45,17 +65,54 @@
 		if err != nil {
 			return err
 		}
-		if long && len(b) > maxSpecBytes {
-			return ErrTooLarge
-		}
 		// Every task may come to have a claim of its own in the record.
-		if !long && len(b)+min(spec.Tasks, j.tasksPerRange)*maxClaimBytes > limits.ValueBytes {
-			return ErrTooLarge
+		fits := len(b)+min(spec.Tasks, j.tasksPerRange)*maxClaimBytes <= limits.ValueBytes
+		if long {
+			fits = len(b) <= maxSpecBytes
 		}
-		return nil
+		switch {
+		case fits:
+			return nil
+		case len(spec.Dependencies) > 0:
+			return ErrTooManyDependencies
+		}
+		return ErrTooLarge
 	})
 }
 
+// resolveDependencies returns the description of a job with those of its dependencies that are not done, and
+// the state in which it is accepted.
+func (txn *Transaction) resolveDependencies(s *Submission) (*wire.JobSpec, JobState, error) {
+	if len(s.Spec.Dependencies) == 0 {
+		return s.Spec, Active, nil
+	}
+	if txn.ledger.archived.format.Format < PipelineFormat {
+		return nil, Active, ErrOlderFormat
+	}
+	spec, accepted := *s.Spec, Active
+	spec.Dependencies = nil
+	for _, id := range s.Spec.Dependencies {
+		state, _, onRecord := txn.ledger.dependencyState(id)
+		if !onRecord {
+			final, archived := s.Archived[id]
+			if !archived {
+				return nil, Active, ErrUnknownDependency
+			}
+			state = final.State
+		}
+		switch state {
+		case Active:
+			spec.Dependencies = append(spec.Dependencies, id)
+		case Cancelled:
+			accepted = Cancelled
+		}
+	}
+	if accepted == Cancelled {
+		spec.Dependencies = nil
+	}
+	return &spec, accepted, nil
+}
+
 // Cancel cancels a job and returns the state that it is then in: a done job stays done.
 func (txn *Transaction) Cancel(j *Job) (JobState, error) {
 	update := txn.update(j)
--- a/internal/state/ledger/transaction_workflows.go
+++ b/internal/state/ledger/transaction_workflows.go
@@ -57,5 +57,5 @@
 		return refuse("submit step", spec.ID)
 	}
 	txn.conditions[workflowKey(workflow.ID)] = workflow.Version
-	return txn.submit(spec, at, workflow.ID, g)
+	return txn.SubmitJob(Submission{Spec: spec, At: at, Gallery: g, workflow: workflow})
 }
--- a/internal/state/watchcache/tokens.go
+++ b/internal/state/watchcache/tokens.go
@@ -20,6 +20,8 @@
 	// tokenConflictDelay comes after an attempt that another controller was ahead of, as when all start
 	// together: by then the records show the other's token.
 	tokenConflictDelay = 10 * time.Millisecond
+	// declareInterval is how often the record is checked for what this controller reads.
+	declareInterval = time.Second
 )
 
 // RequestToken asks for a fencing token above one that a worker has accepted. It never waits; while a
@@ -58,10 +60,17 @@
 // nextTokenRequest waits for a request that the token in use does not satisfy and returns the token
 // that the new one is to exceed.
 func (c *Cache) nextTokenRequest(ctx context.Context) (above wire.FencingToken, err error) {
+	ticker := time.NewTicker(declareInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return 0, ctx.Err()
+		case <-ticker.C:
+			if err := c.declareFormat(ctx); err != nil {
+				c.log.Debug("format read here not on record", "err", err)
+			}
+			continue
 		case above = <-c.tokenRequest:
 		}
 		c.Lock()
@@ -73,6 +82,31 @@
 	}
 }
 
+// declareFormat puts on record again what this controller reads if a start of an older version, which takes a
+// token without it, has removed it.
+func (c *Cache) declareFormat(ctx context.Context) error {
+	c.Lock()
+	record, version := c.records.Token()
+	c.Unlock()
+	if record.Readers[c.opt.Member] == c.opt.Reads {
+		return nil
+	}
+	value, err := json.Marshal(record.Declared(c.opt.Member, c.opt.Reads))
+	if err != nil {
+		return fmt.Errorf("watchcache: encode the record of the fencing token: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, tokenTimeout)
+	defer cancel()
+	revision, err := c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Condition{{Key: ledger.TokenKey, Version: version}},
+		Then: []wire.Change{{Put: ledger.TokenKey, Value: value}},
+	})
+	if err != nil {
+		return fmt.Errorf("watchcache: declare the format read here: %w", err)
+	}
+	return c.WaitForRevision(ctx, revision)
+}
+
 // acquireToken commits the next fencing token, above the last one on record and a given one, and has
 // this controller use it. Its error wraps a kvstore.ConflictError when another controller was ahead.
 func (c *Cache) acquireToken(ctx context.Context, above wire.FencingToken) error {
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -57,9 +57,13 @@
 //	snapshot_s      JobSpec.Checkpoint          checkpoint interval
 //	stash_s         JobSpec.Save                time to save a checkpoint
 //	due_s           JobSpec.Deadline            deadline, counted from the submission
+//	awaits          JobSpec.Dependencies        jobs that must be done before a task starts
+//	awaits          JobStatus.WaitingFor        dependencies that are not done yet
 //	bundle          WorkflowSpec.Bundle         documents of the workflow, by path
 //	window          WorkflowSpec.Window         steps submitted at once
 //	why             WorkflowStatus.Reason       reason of a failure
+//	steps_unknown   WorkflowStatus.StepsUnknown why the steps are left out
+//	outputs_unknown WorkflowStatus.OutputsUnknown why the outputs are left out
 //	over            StepStatus.Finished         finished runs of a step
 //	why             StepStatus.Reason           what the step waits for
 //
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -70,8 +70,14 @@
 	Checkpoint Seconds           `json:"snapshot_s"` // interval between checkpoints
 	Save       Seconds           `json:"stash_s"`    // to save a checkpoint when stopped
 	Deadline   *Seconds          `json:"due_s"`      // from the submission; nil: none
+	// Dependencies are the jobs that must be done before any task of this one starts, each once.
+	Dependencies []JobID `json:"awaits,omitempty"`
 }
 
+// MaxDependencies is the largest number of jobs that one may depend on; a deployment whose state service
+// takes only small values may allow fewer.
+const MaxDependencies = 1000
+
 // requiredJobFields are the keys that a submission must have.
 var requiredJobFields = []string{"id", "workclass", "owner", "shape", "urgency", "pieces",
 	"cores", "accelerators", "ram_gb", "bundle", "pull_gb", "together", "scatter", "loaners",
@@ -98,9 +104,23 @@
 		}
 		return JobSpec{}, errors.New("body is not a valid submission")
 	}
+	s.Dependencies = unique(s.Dependencies)
 	return s, s.Check()
 }
 
+// unique returns the ids without those that stand before, nil if there are none.
+func unique(ids []JobID) []JobID {
+	var out []JobID
+	seen := make(map[JobID]bool, len(ids))
+	for _, id := range ids {
+		if !seen[id] {
+			seen[id] = true
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // maxAmount bounds the amounts of a submission: resources, sizes and seconds.
 const maxAmount = 1e9
 
@@ -130,6 +150,7 @@
 		{"stash_s", validAmount(float64(s.Save))},
 		{"due_s", s.Deadline == nil || validAmount(float64(*s.Deadline))},
 		{"builds", s.validTypes()},
+		{"awaits", s.validDependencies()},
 	}
 	for i := range checks {
 		if !checks[i].valid {
@@ -147,6 +168,12 @@
 	return !slices.ContainsFunc(s.Types, func(name MachineTypeName) bool { return !validName(name) })
 }
 
+// validDependencies reports whether the jobs that it depends on are not too many and have valid ids.
+func (s *JobSpec) validDependencies() bool {
+	return len(s.Dependencies) <= MaxDependencies &&
+		!slices.ContainsFunc(s.Dependencies, func(id JobID) bool { return !id.Valid() })
+}
+
 // validName reports whether a name is of a length that the protocol allows.
 func validName[T ~string](name T) bool { return len(name) >= 1 && len(name) <= maxNameLength }
 
@@ -183,6 +210,8 @@
 	Status  Status `json:"status"`
 	Done    *int   `json:"done,omitempty"`
 	Running *int   `json:"running,omitempty"`
+	// WaitingFor are jobs that this one depends on and that are not done; some of them if they are many.
+	WaitingFor []JobID `json:"awaits,omitempty"`
 }
 
 // ErrorBody is the body of answers other than success; its message is for users to read.
