--- a/cmd/maddermill/serve.go
+++ b/cmd/maddermill/serve.go
@@ -170,13 +170,14 @@
 
 // newStore returns the client of the state service. Watches have a connection of their own.
 func newStore(set *settings.Settings, dialer *transport.Dialer, bodyBytes int) *kvstore.Client {
+	limits := set.StateLimits()
 	return kvstore.NewClient(
 		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 8, MaxBody: bodyBytes},
 		&http1.Client{Dialer: dialer, Addr: set.Outside.State, MaxIdle: 1, MaxBody: bodyBytes},
-		set.Cluster.State.RPS,
-		set.Cluster.State.WriteRPS,
+		limits.RPS,
+		limits.WriteRPS,
 		set.Cluster.Count,
-		set.Cluster.State.TxnOps,
+		limits.TxnOps,
 	)
 }
 
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -138,7 +138,7 @@
 	set := cluster.settings(0)
 	cluster.world = emulator.NewWorld(set.Cluster.Workers.Cancel.Duration())
 	cluster.world.TeamMax["capped"] = 4
-	cluster.store = emulator.NewStore(set.Cluster.State.TxnOps, set.ValueBytes())
+	cluster.store = emulator.NewStore(set.StateLimits().TxnOps, set.StateLimits().ValueBytes)
 	cluster.cloud = &emulator.Cloud{
 		World: cluster.world,
 		Lag:   4 * time.Second,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -286,9 +286,11 @@
 
 // Limits returns the limits of a deployment's state service and of its teams.
 func Limits(set *settings.Settings) ledger.Limits {
+	state := set.StateLimits()
 	limits := ledger.Limits{
-		ValueBytes:      set.ValueBytes(),
-		TxnOps:          set.Cluster.State.TxnOps,
+		ValueBytes:      state.ValueBytes,
+		UsualValueBytes: set.CurrentStateLimits().ValueBytes,
+		TxnOps:          state.TxnOps,
 		TxnBytes:        kvstore.TxnBytes,
 		TeamMax:         map[wire.Team]ledger.Resources{},
 		ControllerCount: 1 + len(set.Peers),
@@ -312,7 +314,7 @@
 		Self:       set.Member,
 		Count:      set.Cluster.Count,
 		Contact:    settings.StartContact,
-		ValueBytes: set.ValueBytes(),
+		ValueBytes: set.StateLimits().ValueBytes,
 	}
 	for _, peer := range set.Peers {
 		options.Others = append(options.Others, peer.Member)
@@ -322,7 +324,7 @@
 
 // archiverOptions returns the options of the archiver of finished jobs.
 func archiverOptions(set *settings.Settings) archiver.Options {
-	operators, service := set.Operators, set.Cluster.State
+	operators, service := set.Operators, set.StateLimits()
 	return archiver.Options{
 		Archive:    operators.Archive,
 		KeptJobs:   operators.KeptJobs,
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -20,7 +20,7 @@
 func newTestController(tb testing.TB) *Controller {
 	tb.Helper()
 	set := newTestSettings(tb, 0)
-	store := emulator.NewStore(set.Cluster.State.TxnOps, set.ValueBytes())
+	store := emulator.NewStore(set.StateLimits().TxnOps, set.StateLimits().ValueBytes)
 	return New(set, emulator.NewLink(store, 1), slog.New(slog.DiscardHandler))
 }
 
--- a/internal/controller/fleet_bench_test.go
+++ b/internal/controller/fleet_bench_test.go
@@ -61,7 +61,7 @@
 // newStoreOfFleet returns a state service with the records of a fleet.
 func newStoreOfFleet(b *testing.B, set *settings.Settings, fleet *controllertest.Fleet) *emulator.Store {
 	b.Helper()
-	store := emulator.NewStore(set.Cluster.State.TxnOps, set.ValueBytes())
+	store := emulator.NewStore(set.StateLimits().TxnOps, set.StateLimits().ValueBytes)
 	for _, record := range fleet.Records {
 		mustPut(b, store, record.Key, record.Value)
 	}
--- a/internal/controller/workflow_test.go
+++ b/internal/controller/workflow_test.go
@@ -321,7 +321,7 @@
 	set := newTestSettings(t, 0)
 	r := &recordsOnStore{
 		Ledger: newTestController(t).cache.Records(),
-		store:  emulator.NewStore(set.Cluster.State.TxnOps, set.ValueBytes()),
+		store:  emulator.NewStore(set.StateLimits().TxnOps, set.StateLimits().ValueBytes),
 	}
 	spec := &wire.WorkflowSpec{ID: "wf-000001", Team: "free", Priority: wire.Normal}
 	r.mustCommit(t, func(txn *ledger.Transaction) error {
--- a/internal/leader/scale_out.go
+++ b/internal/leader/scale_out.go
@@ -136,7 +136,7 @@
 }
 
 // maxIntents is how many intents the record of recent intents holds.
-func (t *term) maxIntents() int { return t.leader.set.ValueBytes() / ledger.HireBytes }
+func (t *term) maxIntents() int { return t.leader.set.StateLimits().ValueBytes / ledger.HireBytes }
 
 // pruneIntents drops the intents whose machines the cloud's list shows by now, and the oldest ones beyond
 // what their record holds.
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -64,7 +64,7 @@
 		Machines: s.machines(now),
 		Tree:     s.topology.Tree(),
 		Limits: placement.Limits{
-			Starts:       s.set.Cluster.State.TxnOps,
+			Starts:       s.set.StateLimits().TxnOps,
 			ColdStarts:   s.set.Operators.ColdStarts,
 			FetchAssumed: s.set.Operators.FetchMark,
 			ReserveAfter: s.set.Operators.WithholdAfter,
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -218,14 +218,7 @@
 	if err != nil || isFinal(st.Status) {
 		return wire.JobStatus{ID: id, Status: st.Status}, err
 	}
-	err = s.Committer.CommitNow(ctx, func(txn *ledger.Transaction) error {
-		job := s.records().Job(id)
-		if job == nil {
-			return ledger.ErrPreconditionFailed // it ended since and was archived
-		}
-		_, err := txn.Cancel(job)
-		return err
-	})
+	err = s.commitCancellation(ctx, id)
 	if err != nil && !errors.Is(err, ledger.ErrPreconditionFailed) {
 		return wire.JobStatus{}, err
 	}
@@ -236,6 +229,39 @@
 	return wire.JobStatus{ID: id, Status: st.Status}, nil
 }
 
+// commitCancellation makes the cancellation of a job durable. A record that an earlier version wrote larger
+// than the state service takes by now is first written in parts.
+func (s *JobServer) commitCancellation(ctx context.Context, id wire.JobID) error {
+	for {
+		err := s.commitOnJob(ctx, id, func(txn *ledger.Transaction, job *ledger.Job) error {
+			_, err := txn.Cancel(job)
+			return err
+		})
+		if !errors.Is(err, ledger.ErrTooLarge) {
+			return err
+		}
+		if err := s.commitOnJob(ctx, id, (*ledger.Transaction).WriteParts); err != nil {
+			return err
+		}
+	}
+}
+
+// commitOnJob commits a change of a job on record. The error is ledger.ErrPreconditionFailed if it is not: it
+// ended since and was archived.
+func (s *JobServer) commitOnJob(
+	ctx context.Context,
+	id wire.JobID,
+	change func(*ledger.Transaction, *ledger.Job) error,
+) error {
+	return s.Committer.CommitNow(ctx, func(txn *ledger.Transaction) error {
+		job := s.records().Job(id)
+		if job == nil {
+			return ledger.ErrPreconditionFailed
+		}
+		return change(txn, job)
+	})
+}
+
 // isFinal reports whether a job's status can't change any more.
 func isFinal(status wire.Status) bool { return status == wire.Done || status == wire.Cancelled }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -80,6 +80,37 @@
 	}
 }
 
+// checkSizes checks the size of a value and of a transaction of the state service.
+func checkSizes(errs *fieldErrors, table string, valueKB float64, txnOps int) {
+	// A NaN passes the checks that are negated.
+	errs.require(!(valueKB < 2), table+".value_kb", "must be at least 2: a job's record needs that much")
+	errs.require(txnOps >= 2, table+".txn_ops", "must be at least 2: a start changes a job and its team")
+}
+
+// checkNextLimits checks the limits that the state service will have. What is left out stays as it is.
+func (s *Settings) checkNextLimits(errs *fieldErrors) {
+	const table = "settings.state.next"
+	state := &s.Cluster.State
+	next := state.Next
+	if next == nil {
+		return
+	}
+	if next.RPS != nil {
+		errs.positive(table+".rps", *next.RPS)
+	}
+	if next.WriteRPS != nil {
+		errs.positive(table+".write_rps", *next.WriteRPS)
+	}
+	valueKB, txnOps := state.ValueKB, state.TxnOps
+	if next.ValueKB != nil {
+		valueKB = *next.ValueKB
+	}
+	if next.TxnOps != nil {
+		txnOps = *next.TxnOps
+	}
+	checkSizes(errs, table, valueKB, txnOps)
+}
+
 // checkBounds checks the times, rates, sizes and quotas.
 func (s *Settings) checkBounds(errs *fieldErrors) {
 	c := &s.Cluster
@@ -92,11 +123,8 @@
 	errs.positive("settings.state.rps", c.State.RPS)
 	errs.positive("settings.state.write_rps", c.State.WriteRPS)
 	errs.positive("settings.cloud.rps", c.Cloud.RPS)
-	// A NaN passes the checks that are negated.
-	errs.require(!(c.State.ValueKB < 2),
-		"settings.state.value_kb", "must be at least 2: a job's record needs that much")
-	errs.require(c.State.TxnOps >= 2,
-		"settings.state.txn_ops", "must be at least 2: a start changes a job and its team")
+	checkSizes(errs, "settings.state", c.State.ValueKB, c.State.TxnOps)
+	s.checkNextLimits(errs)
 	errs.require(!(c.Quota.CPUShare < 0 || c.Quota.MemoryMB < 0 || c.Quota.Sockets < 0),
 		"settings.quota", "must not be below 0")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,14 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			// Next are the limits that the state service will have from some moment on, of which
+			// nobody tells; nil: the same. Its fields that are left out stay as they are.
+			Next *struct {
+				RPS      *float64 `toml:"rps"`
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS     float64      `toml:"rps"`
@@ -142,8 +150,45 @@
 	return nil
 }
 
-// ValueBytes returns the size limit of a durable value, in bytes.
-func (s *Settings) ValueBytes() int { return int(s.Cluster.State.ValueKB * 1024) }
+// StateLimits are the limits of the state service.
+type StateLimits struct {
+	RPS        float64 // requests a second
+	WriteRPS   float64 // changes a second
+	ValueBytes int     // of a value
+	TxnOps     int     // changes in a transaction
+}
+
+// CurrentStateLimits returns the limits that the state service has had so far. Versions that do not know of
+// others write records up to these.
+func (s *Settings) CurrentStateLimits() StateLimits {
+	state := &s.Cluster.State
+	return StateLimits{state.RPS, state.WriteRPS, int(state.ValueKB * bytesPerKiB), state.TxnOps}
+}
+
+// StateLimits returns the limits that all that is written keeps to: the smaller ones of those that the state
+// service has and of those that it will have.
+func (s *Settings) StateLimits() StateLimits {
+	limits, next := s.CurrentStateLimits(), s.Cluster.State.Next
+	if next == nil {
+		return limits
+	}
+	if next.RPS != nil {
+		limits.RPS = min(limits.RPS, *next.RPS)
+	}
+	if next.WriteRPS != nil {
+		limits.WriteRPS = min(limits.WriteRPS, *next.WriteRPS)
+	}
+	if next.ValueKB != nil {
+		limits.ValueBytes = min(limits.ValueBytes, int(*next.ValueKB*bytesPerKiB))
+	}
+	if next.TxnOps != nil {
+		limits.TxnOps = min(limits.TxnOps, *next.TxnOps)
+	}
+	return limits
+}
+
+// bytesPerKiB converts the sizes of the settings.
+const bytesPerKiB = 1024
 
 // StartContact bounds the time since the last sync with the state service at which a task may be
 // started, or anything else done that relies on current records.
--- a/internal/state/ledger/apply.go
+++ b/internal/state/ledger/apply.go
@@ -17,6 +17,7 @@
 	apply  func(l *Ledger, name string, e Event) error
 }{
 	{taskRangePrefix, (*Ledger).applyTaskRange},
+	{partPrefix, (*Ledger).applyPart},
 	{GalleryPrefix, func(l *Ledger, name string, e Event) error { return l.applyGallery(wire.GalleryName(name), e) }},
 	{workflowPrefix, func(l *Ledger, name string, e Event) error { return l.applyWorkflow(wire.WorkflowID(name), e) }},
 	{machinePrefix, (*Ledger).applyMachine},
@@ -183,7 +184,9 @@
 			return json.Unmarshal(e.Value, &l.scaleOut)
 		}
 	case FormatKey:
-		return applyNewer(e, &l.archived.formatVersion, &l.archived.format)
+		err := applyNewer(e, &l.archived.formatVersion, &l.archived.format)
+		l.divideOutgrown()
+		return err
 	case RegisterKey:
 		return applyNewer(e, &l.registerVersion, &l.register)
 	case TokenKey:
--- a/internal/state/ledger/apply_job.go
+++ b/internal/state/ledger/apply_job.go
@@ -19,7 +19,7 @@
 		l.applyJobDeletion(id, j, e.Version)
 		return nil
 	}
-	if j != nil && e.Version <= j.ranges[0].Version {
+	if j != nil && e.Version <= j.version {
 		return nil
 	}
 	var r jobRecord
@@ -41,7 +41,8 @@
 	}
 	j.State, j.Stop, j.finalDone, j.Ended = r.State, r.Stop, r.FinalDone, r.Ended
 	l.updateGalleryCount(j)
-	l.replaceRange(j, 0, &TaskRange{Version: e.Version, taskRangeRecord: r.taskRangeRecord})
+	j.version = e.Version
+	l.replaceStored(j, 0, e.Version, &r.taskRangeRecord)
 	l.applyJobState(j)
 	if err := l.adoptOrphanRanges(j); err != nil {
 		return err
@@ -91,7 +92,7 @@
 	switch {
 	case j == nil:
 		l.archived.filter.Add(string(id)) // archived while the records were read
-	case at >= j.ranges[0].Version:
+	case at >= j.version:
 		l.dropJob(j)
 	}
 }
@@ -99,13 +100,18 @@
 // addJob adds a job that was not known.
 func (l *Ledger) addJob(id wire.JobID, r *jobRecord) *Job {
 	j := &Job{
-		ID:            id,
-		Spec:          r.Spec,
-		Accepted:      r.Accepted,
-		ranges:        map[int]*TaskRange{},
-		tasksPerRange: cmp.Or(r.Range, l.limits.TasksPerRange()),
-		Need:          NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB),
-		Workflow:      r.Workflow,
+		ID:          id,
+		Spec:        r.Spec,
+		Accepted:    r.Accepted,
+		ranges:      map[int]*TaskRange{},
+		storedRange: cmp.Or(r.Range, l.usualRange()),
+		Need:        NewResources(r.Spec.CPUs, r.Spec.GPUs, r.Spec.MemoryGB),
+		Workflow:    r.Workflow,
+	}
+	j.tasksPerRange = j.storedRange
+	j.long = l.isLong(j.Spec, j.storedRange)
+	if l.writesParts() && l.outgrows(j) {
+		l.divide(j)
 	}
 	l.linkGallery(j, r.Gallery)
 	if w := l.workflows[r.Workflow]; w != nil && w.State == WorkflowCancelled {
@@ -121,12 +127,16 @@
 		return nil
 	}
 	for key, o := range l.orphanRanges {
-		id, n, ok := parseTaskRangeKey(strings.TrimPrefix(key, taskRangePrefix))
+		update, parse, rest := l.updateRange, parseTaskRangeKey, strings.TrimPrefix(key, taskRangePrefix)
+		if part, ok := strings.CutPrefix(key, partPrefix); ok {
+			update, parse, rest = l.updatePart, parsePartKey, part
+		}
+		id, n, ok := parse(rest)
 		if !ok || id != j.ID {
 			continue
 		}
 		delete(l.orphanRanges, key)
-		if err := l.updateRange(j, n, o); err != nil {
+		if err := update(j, n, o); err != nil {
 			return err
 		}
 	}
@@ -143,30 +153,47 @@
 	if j := l.jobs[id]; j != nil {
 		return l.updateRange(j, n, e)
 	}
+	l.keepOrphan(e)
+	return nil
+}
+
+// keepOrphan keeps a change of some of a job's tasks until the job arrives.
+func (l *Ledger) keepOrphan(e Event) {
 	if e.Value == nil {
 		delete(l.orphanRanges, e.Key)
 	} else {
 		l.orphanRanges[e.Key] = e
 	}
-	return nil
 }
 
-// updateRange applies a change of the n-th range of a job's tasks.
+// storedVersion returns the version of the record of the n-th stored range, 0 if there is none.
+func (j *Job) storedVersion(n int) wire.Revision {
+	switch r := j.ranges[n]; {
+	case n == 0:
+		return j.version
+	case j.divided():
+		return j.storedVersions[n]
+	case r != nil:
+		return r.Version
+	}
+	return 0
+}
+
+// updateRange applies a change of the n-th stored range of a job's tasks.
 func (l *Ledger) updateRange(j *Job, n int, e Event) error {
-	old := j.ranges[n]
-	if e.Value == nil && old != nil && e.Version >= old.Version {
-		l.replaceRange(j, n, &TaskRange{})
-		delete(j.ranges, n)
+	old := j.storedVersion(n)
+	if e.Value == nil && old != 0 && e.Version >= old {
+		l.removeStored(j, n)
 		return nil
 	}
-	if e.Value == nil || old != nil && e.Version <= old.Version {
+	if e.Value == nil || e.Version <= old {
 		return nil
 	}
-	r := &TaskRange{Version: e.Version}
-	if err := json.Unmarshal(e.Value, &r.taskRangeRecord); err != nil {
+	var r taskRangeRecord
+	if err := decodeInto(e.Value, &r); err != nil {
 		return err
 	}
-	l.replaceRange(j, n, r)
+	l.replaceStored(j, n, e.Version, &r)
 	return nil
 }
 
@@ -233,7 +260,7 @@
 func (l *Ledger) compactFinished(j *Job) {
 	if j.State != Active && j.Claimed == 0 && j.Workflow == "" && j.Spec.Tasks <= j.tasksPerRange {
 		l.archived.finished[j.ID] = finishedJob{
-			version:   j.ranges[0].Version,
+			version:   j.version,
 			done:      int32(j.DoneTasks()),
 			cancelled: j.State == Cancelled,
 			gallery:   j.Gallery,
--- a/internal/state/ledger/archive.go
+++ b/internal/state/ledger/archive.go
@@ -112,7 +112,7 @@
 	}
 	for id, j := range l.jobs {
 		if l.active[id] == nil && l.Archivable(id) {
-			f(id, j.ranges[0].Version)
+			f(id, j.version)
 		}
 	}
 }
--- /dev/null
+++ b/internal/state/ledger/dependencies_test.go
@@ -0,0 +1,346 @@
+package ledger_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"maddermill/internal/state/ledger"
+	"maddermill/wire"
+)
+
+// newPipelineFixture returns a fixture whose records are of the newest format.
+func newPipelineFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := newFixture(limits)
+	f.run(t, func(txn *ledger.Transaction) error { return txn.UpgradeFormat(ledger.PipelineFormat, 1) })
+	return f
+}
+
+// named returns an array of one task that depends on jobs.
+func named(id wire.JobID, dependencies ...wire.JobID) *wire.JobSpec {
+	spec := arraySpec(id, 1)
+	spec.Dependencies = dependencies
+	return spec
+}
+
+// finish has the only task of a job start on a machine and end.
+func (f *fixture) finish(t *testing.T, id wire.JobID) {
+	t.Helper()
+	j := f.ledger.Job(id)
+	f.claimAll(t, j, target(1, 1), 1)
+	var claim ledger.Claim
+	j.Claims(func(c ledger.Claim) bool { claim = c; return false })
+	f.run(t, func(txn *ledger.Transaction) error {
+		txn.SetTime(1000)
+		_, err := txn.ReleaseTasks(j, claim, []wire.TaskIndex{0}, ledger.TaskCompleted)
+		return err
+	})
+}
+
+// TestClaimsWaitForDependencies guards the rule too_early: no transaction claims a task before all jobs that
+// its job names are done on record, and the status stays queued.
+func TestClaimsWaitForDependencies(t *testing.T) {
+	f := newPipelineFixture(t)
+	f.submit(t, named("wk-000001"))
+	f.submit(t, named("wk-000002"))
+	j := f.submit(t, named("wk-000003", "wk-000001", "wk-000002"))
+	for _, first := range []wire.JobID{"wk-000001", "wk-000002"} {
+		if got, err := f.ledger.NewTransaction().Claim(j, target(2, 1), 1, nil); !errors.Is(err, ledger.ErrPreconditionFailed) {
+			t.Errorf("claim before %s is done: got %d claimed, error %v, want it refused", first, got, err)
+		}
+		if j.Pending() != 0 || j.Status() != wire.Queued {
+			t.Errorf("before %s is done: got %d pending, status %s, want 0 and queued", first, j.Pending(), j.Status())
+		}
+		f.finish(t, first)
+	}
+	if j.Pending() != 1 || j.EligibleSince() != 1000 {
+		t.Errorf("after both are done: got %d pending, eligible since %d, want 1 and 1000", j.Pending(), j.EligibleSince())
+	}
+	f.finish(t, j.ID)
+}
+
+// TestSubmissionResolvesDependencies: what a job names is decided by the records, and by the archive for jobs
+// that left them.
+func TestSubmissionResolvesDependencies(t *testing.T) {
+	f := newPipelineFixture(t)
+	f.submit(t, named("wk-000001"))
+	f.finish(t, "wk-000001")
+	f.submit(t, named("wk-000002"))
+	f.run(t, func(txn *ledger.Transaction) error { _, err := txn.Cancel(f.ledger.Job("wk-000002")); return err })
+	for _, tc := range []struct {
+		name     string
+		names    wire.JobID
+		archived map[wire.JobID]ledger.FinalRecord
+		want     wire.Status
+		err      error
+	}{
+		{"done", "wk-000001", nil, wire.Queued, nil},
+		{"cancelled", "wk-000002", nil, wire.Cancelled, nil},
+		{"never accepted", "wk-000009", nil, "", ledger.ErrUnknownDependency},
+		{"itself", "wk-000103", nil, "", ledger.ErrUnknownDependency},
+		{"archived done", "wk-000008", map[wire.JobID]ledger.FinalRecord{"wk-000008": {State: ledger.Done}}, wire.Queued, nil},
+		{
+			"archived cancelled", "wk-000007",
+			map[wire.JobID]ledger.FinalRecord{"wk-000007": {State: ledger.Cancelled}},
+			wire.Cancelled, nil,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			id := wire.JobID(fmt.Sprintf("wk-0001%02d", slices.Index([]string{
+				"done", "cancelled", "never accepted", "itself", "archived done", "archived cancelled",
+			}, tc.name)))
+			txn := f.ledger.NewTransaction()
+			err := txn.SubmitJob(ledger.Submission{Spec: named(id, tc.names), At: 5, Archived: tc.archived})
+			if !errors.Is(err, tc.err) {
+				t.Fatalf("got error %v, want %v", err, tc.err)
+			}
+			if err != nil {
+				return
+			}
+			f.commit(t, txn)
+			if got := statusOf(f.ledger, id); got != tc.want {
+				t.Errorf("got status %s, want %s", got, tc.want)
+			}
+		})
+	}
+	old := newFixture(limits)
+	old.submit(t, named("wk-000001"))
+	err := old.ledger.NewTransaction().Submit(named("wk-000002", "wk-000001"), 1)
+	if !errors.Is(err, ledger.ErrOlderFormat) {
+		t.Errorf("in an older format: got error %v, want ErrOlderFormat", err)
+	}
+	var many []wire.JobID
+	for i := range 300 {
+		id := wire.JobID(fmt.Sprintf("wk-002%03d", i))
+		f.submit(t, named(id))
+		many = append(many, id)
+	}
+	if err := f.ledger.NewTransaction().Submit(named("wk-000500", many...), 1); !errors.Is(err, ledger.ErrTooManyDependencies) {
+		t.Errorf("with 300 dependencies: got error %v, want ErrTooManyDependencies", err)
+	}
+}
+
+// statusOf returns the status of a job on record.
+func statusOf(l *ledger.Ledger, id wire.JobID) wire.Status {
+	if final, over := l.ArchivedState(id); over {
+		return final.Status(id).Status
+	}
+	if j := l.Job(id); j != nil {
+		return j.Status()
+	}
+	return ""
+}
+
+// TestNamedJobsAreNotArchived guards against an archive that makes dependents forget that a job was done.
+func TestNamedJobsAreNotArchived(t *testing.T) {
+	f := newPipelineFixture(t)
+	f.submit(t, named("wk-000001"))
+	f.submit(t, named("wk-000003"))
+	f.submit(t, named("wk-000002", "wk-000001", "wk-000003"))
+	f.finish(t, "wk-000001")
+	if f.ledger.Archivable("wk-000001") {
+		t.Error("got a job archivable that an active job names")
+	}
+	f.finish(t, "wk-000003")
+	f.finish(t, "wk-000002")
+	for _, id := range []wire.JobID{"wk-000001", "wk-000002", "wk-000003"} {
+		if !f.ledger.Archivable(id) {
+			t.Errorf("%s: got not archivable once all are done, want it to be", id)
+		}
+	}
+}
+
+// TestMissingDependencyIsResolved: a job that was archived just as another was accepted that names it. The
+// dependent waits until the archive was read, and then follows what it says.
+func TestMissingDependencyIsResolved(t *testing.T) {
+	for _, state := range []ledger.JobState{ledger.Done, ledger.Cancelled} {
+		f := newPipelineFixture(t)
+		f.submit(t, named("wk-000001"))
+		j := f.submit(t, named("wk-000002", "wk-000001"))
+		loaded := ledger.New(limits)
+		for _, item := range f.store.Items() {
+			if item.Key != "mm1/j/wk-000001" {
+				loaded.Apply(ledger.Event{Key: item.Key, Value: item.Value, Version: item.Version})
+			}
+		}
+		if j = loaded.Job("wk-000002"); j.Ready() || !slices.Contains(slices.Collect(loaded.MissingDependencies()), "wk-000001") {
+			t.Fatal("got a job ready whose dependency is not on record, want it missing")
+		}
+		loaded.ResolveDependency("wk-000001", ledger.FinalRecord{State: state})
+		want := wire.Queued
+		if state == ledger.Cancelled {
+			want = wire.Cancelled
+		}
+		if j.Status() != want || j.Ready() != (state == ledger.Done) {
+			t.Errorf("archived as %s: got status %s, ready %v, want %s", state, j.Status(), j.Ready(), want)
+		}
+	}
+}
+
+// modelJob is a job of the plain model of dependencies.
+type modelJob struct {
+	spec  *wire.JobSpec
+	state ledger.JobState
+}
+
+// cancelled reports whether a job or one that it needs is cancelled.
+func (m pipelineModel) cancelled(id wire.JobID) bool {
+	return m[id].state == ledger.Cancelled || m[id].state == ledger.Active && slices.ContainsFunc(m[id].spec.Dependencies, m.cancelled)
+}
+
+// pipelineModel is the plain model: each property is computed from all jobs.
+type pipelineModel map[wire.JobID]*modelJob
+
+// ready reports whether all that a job names is done.
+func (m pipelineModel) ready(id wire.JobID) bool {
+	return !slices.ContainsFunc(m[id].spec.Dependencies, func(d wire.JobID) bool { return m[d].state != ledger.Done })
+}
+
+// urgency returns the rank of a job's priority and when it should be done, 0 for no date.
+func (m pipelineModel) urgency(id wire.JobID) (rank int, due int64) {
+	spec := m[id].spec
+	rank = spec.Priority.Rank()
+	if spec.Deadline != nil {
+		due = 1 + spec.Deadline.Duration().Milliseconds()
+	}
+	for other, o := range m {
+		if o.state != ledger.Active || m.cancelled(other) || !slices.Contains(o.spec.Dependencies, id) {
+			continue
+		}
+		otherRank, otherDue := m.urgency(other)
+		rank = min(rank, otherRank)
+		if otherDue != 0 {
+			otherDue -= o.spec.Estimate.Duration().Milliseconds() + 10_000
+			if due == 0 || otherDue < due {
+				due = otherDue
+			}
+		}
+	}
+	return rank, due
+}
+
+// TestDependenciesFollowTheModel plays random pipelines (chains, fan-in, fan-out, diamonds) in which jobs
+// are submitted, done and cancelled, and compares what each ledger derives with the plain model: one that saw
+// every change, and one that reads all records in a random order.
+func TestDependenciesFollowTheModel(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		f, m := newPipelineFixture(t), pipelineModel{}
+		var ids []wire.JobID
+		for range 60 {
+			switch active := f.activeOf(ids); {
+			case len(active) == 0 || rng.IntN(3) > 0:
+				id := wire.JobID(fmt.Sprintf("wk-%06d", len(ids)))
+				spec := randomPipelineJob(rng, id, active)
+				f.submit(t, spec)
+				ids = append(ids, id)
+				m[id] = &modelJob{spec: spec}
+			default:
+				id := active[rng.IntN(len(active))]
+				if rng.IntN(6) == 0 {
+					f.run(t, func(txn *ledger.Transaction) error { _, err := txn.Cancel(f.ledger.Job(id)); return err })
+					m[id].state = ledger.Cancelled
+				} else if m.ready(id) && !m.cancelled(id) {
+					f.finish(t, id)
+					m[id].state = ledger.Done
+				}
+			}
+			compareWithModel(t, seed, f.ledger, m)
+			compareWithModel(t, seed, f.reload(rng), m)
+			if t.Failed() {
+				return
+			}
+		}
+	}
+}
+
+// activeOf returns those of the jobs that are active on record.
+func (f *fixture) activeOf(ids []wire.JobID) (active []wire.JobID) {
+	for _, id := range ids {
+		if j := f.ledger.Job(id); j != nil && j.State == ledger.Active {
+			active = append(active, id)
+		}
+	}
+	return active
+}
+
+// reload returns a ledger that read all records in a random order.
+func (f *fixture) reload(rng *rand.Rand) *ledger.Ledger {
+	items := f.store.Items()
+	rng.Shuffle(len(items), func(i, k int) { items[i], items[k] = items[k], items[i] })
+	l := ledger.New(limits)
+	for _, item := range items {
+		l.Apply(ledger.Event{Key: item.Key, Value: item.Value, Version: item.Version})
+	}
+	return l
+}
+
+// randomPipelineJob returns a job that names up to three of others.
+func randomPipelineJob(rng *rand.Rand, id wire.JobID, others []wire.JobID) *wire.JobSpec {
+	spec := named(id)
+	spec.Priority = []wire.Priority{wire.BestEffort, wire.Normal, wire.High}[rng.IntN(3)]
+	spec.Estimate = wire.Seconds(rng.IntN(50))
+	if rng.IntN(3) == 0 {
+		due := wire.Seconds(100 + rng.IntN(500))
+		spec.Deadline = &due
+	}
+	for range min(len(others), rng.IntN(4)) {
+		if id := others[rng.IntN(len(others))]; !slices.Contains(spec.Dependencies, id) {
+			spec.Dependencies = append(spec.Dependencies, id)
+		}
+	}
+	return spec
+}
+
+// compareWithModel compares all that a ledger derives from dependencies with the model.
+func compareWithModel(t *testing.T, seed uint64, l *ledger.Ledger, m pipelineModel) {
+	t.Helper()
+	for id, want := range m {
+		j := l.Job(id)
+		if j == nil || j.State != ledger.Active {
+			continue
+		}
+		if got := j.Status() == wire.Cancelled; got != m.cancelled(id) {
+			t.Errorf("seed %d: %s cancelled: got %v, want %v", seed, id, got, m.cancelled(id))
+		}
+		if m.cancelled(id) {
+			continue
+		}
+		if j.Ready() != m.ready(id) {
+			t.Errorf("seed %d: %s ready: got %v, want %v", seed, id, j.Ready(), m.ready(id))
+		}
+		rank, due := m.urgency(id)
+		got := int64(0)
+		if !j.DueBy().IsZero() {
+			got = j.DueBy().UnixMilli()
+		}
+		if j.Priority().Rank() != rank || got != due {
+			t.Errorf("seed %d: %s (%+v): got rank %d due %d, want %d and %d", seed, id, want.spec.Dependencies,
+				j.Priority().Rank(), got, rank, due)
+		}
+	}
+}
+
+// TestPipelineRecordsRoundTrip: a dependency is kept under the protocol's key, and a job without any has a
+// record as before.
+func TestPipelineRecordsRoundTrip(t *testing.T) {
+	f := newPipelineFixture(t)
+	f.submit(t, named("wk-000001"))
+	f.submit(t, named("wk-000002", "wk-000001"))
+	for _, item := range f.store.Items() {
+		var record struct {
+			Spec map[string]any `json:"spec"`
+		}
+		if err := json.Unmarshal(item.Value, &record); err != nil || record.Spec == nil {
+			continue
+		}
+		_, has := record.Spec["awaits"]
+		if want := record.Spec["id"] == "wk-000002"; has != want {
+			t.Errorf("%s: got awaits %v, want %v", item.Value, has, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/ledger/division_test.go
@@ -0,0 +1,276 @@
+package ledger_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"maddermill/internal/state/kvstore"
+	"maddermill/internal/state/ledger"
+	"maddermill/wire"
+)
+
+// The limits of a state service before and after it was lowered, as earlier and current versions know them.
+var (
+	usualLimits   = ledger.Limits{ValueBytes: 32 << 10, TxnOps: 40, TxnBytes: kvstore.TxnBytes}
+	loweredLimits = ledger.Limits{
+		ValueBytes: 2048, UsualValueBytes: 32 << 10, TxnOps: 4, TxnBytes: kvstore.TxnBytes,
+	}
+)
+
+// largeJob returns a fixture with an array whose record is close to the usual limit of values: each of its
+// tasks is claimed on a machine of its own. Nothing in it knows of a lower limit.
+func largeJob(t *testing.T, tasks int) *fixture {
+	t.Helper()
+	f := newFixture(usualLimits)
+	j := f.submit(t, arraySpec("wk-000001", tasks))
+	for machine := range tasks {
+		f.run(t, func(txn *ledger.Transaction) error {
+			_, err := txn.Claim(j, target(machine, 7), 1, nil)
+			return err
+		})
+	}
+	return f
+}
+
+// lower has the records read by a controller that knows of the lower limits, raises their format, and then
+// lowers the limits of the store.
+func (f *fixture) lower(t *testing.T) {
+	t.Helper()
+	f.ledger = f.loadWith(loweredLimits)
+	f.run(t, func(txn *ledger.Transaction) error { return txn.UpgradeFormat(ledger.PipelineFormat, 1) })
+	f.store.TxnOps, f.store.Value = loweredLimits.TxnOps, loweredLimits.ValueBytes
+}
+
+// loadWith returns a ledger that read all records.
+func (f *fixture) loadWith(limits ledger.Limits) *ledger.Ledger {
+	l := ledger.New(limits)
+	for _, item := range f.store.Items() {
+		l.Apply(ledger.Event{Key: item.Key, Value: item.Value, Version: item.Version})
+	}
+	return l
+}
+
+// endOne ends one claimed task of a job, and reports whether there was one.
+func (f *fixture) endOne(t *testing.T, j *ledger.Job, rng *rand.Rand, end ledger.TaskEnd) bool {
+	t.Helper()
+	var claims []ledger.Claim
+	j.Claims(func(c ledger.Claim) bool { claims = append(claims, c); return true })
+	if len(claims) == 0 {
+		return false
+	}
+	slices.SortFunc(claims, func(a, b ledger.Claim) int { return int(a.First) - int(b.First) })
+	claim := claims[rng.IntN(len(claims))]
+	task := claim.First + wire.TaskIndex(rng.IntN(claim.Count))
+	f.run(t, func(txn *ledger.Transaction) error {
+		_, err := txn.ReleaseTasks(j, claim, []wire.TaskIndex{task}, end)
+		return err
+	})
+	return true
+}
+
+// TestLargeRecordsAfterTheLimitFalls guards against records that can't be written any more once the state
+// service takes only small values: a job whose record an earlier version wrote up to the old limit is
+// claimed, ended and completed under the new one, in any order of its tasks, and every controller that reads
+// the records anew sees the same.
+func TestLargeRecordsAfterTheLimitFalls(t *testing.T) {
+	for seed := range uint64(12) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		tasks := 20 + rng.IntN(330)
+		f := largeJob(t, tasks)
+		f.lower(t)
+		j := f.ledger.Job("wk-000001")
+		for step := 0; j.State == ledger.Active && step < 20*tasks; step++ {
+			if j.Pending() > 0 && rng.IntN(2) == 0 {
+				machine := rng.IntN(1000)
+				txn := f.ledger.NewTransaction()
+				if _, err := txn.Claim(j, target(machine, 8), 1+rng.IntN(12), nil); err == nil {
+					f.commit(t, txn)
+				}
+				continue
+			}
+			end := ledger.TaskCompleted
+			if rng.IntN(4) == 0 {
+				end = ledger.TaskStopped
+			}
+			f.endOne(t, j, rng, end)
+			if step%50 == 0 {
+				compareLoaded(t, seed, f, j)
+			}
+		}
+		if final, over := f.ledger.ArchivedState("wk-000001"); !over || final.State != ledger.Done || final.Done != tasks {
+			t.Fatalf("seed %d: got %+v, over %v, want done with %d tasks", seed, final, over, tasks)
+		}
+		if len(f.store.Problems) > 0 {
+			t.Errorf("seed %d: the store refused %q", seed, f.store.Problems[0])
+		}
+		if _, problems := ledger.Verify(f.events(), loweredLimits); len(problems) > 0 {
+			t.Errorf("seed %d: verification: got %v, want no problem", seed, problems)
+		}
+		f.archiveAll(t)
+	}
+}
+
+// events returns all records by key.
+func (f *fixture) events() map[string]ledger.Event {
+	all := map[string]ledger.Event{}
+	for _, item := range f.store.Items() {
+		if !ledger.IsFinalKey(item.Key) && !strings.HasPrefix(item.Key, ledger.FilterPrefix) {
+			all[item.Key] = ledger.Event{Key: item.Key, Value: item.Value, Version: item.Version}
+		}
+	}
+	// Claims are checked against the tokens taken.
+	all[ledger.TokenKey] = ledger.Event{Key: ledger.TokenKey, Value: []byte(`{"n":100,"by":"m-0"}`), Version: 1}
+	return all
+}
+
+// compareLoaded compares a job with what a controller reads that loads all records.
+func compareLoaded(t *testing.T, seed uint64, f *fixture, j *ledger.Job) {
+	t.Helper()
+	other := f.loadWith(loweredLimits).Job(j.ID)
+	got, want := describe(other), describe(j)
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("seed %d: loaded anew: got %v, want %v", seed, got, want)
+	}
+}
+
+// describe lists what the records say of each task of a job.
+func describe(j *ledger.Job) (tasks []string) {
+	tasks = make([]string, j.Spec.Tasks)
+	for i := range tasks {
+		if j.TaskDone(wire.TaskIndex(i)) {
+			tasks[i] = "done"
+		}
+	}
+	j.Claims(func(c ledger.Claim) bool {
+		for i := range c.Count {
+			tasks[int(c.First)+i] += fmt.Sprintf("%s attempt %d", c.Machine, c.Attempt)
+		}
+		return true
+	})
+	return tasks
+}
+
+// archiveAll archives the finished job with all its records, some of its ranges at a time where they are too
+// many.
+func (f *fixture) archiveAll(t *testing.T) {
+	t.Helper()
+	readPages(f.ledger, f.store, "wk-000001")
+	for range 200 {
+		txn := f.ledger.NewTransaction()
+		if _, err := txn.Archive([]wire.JobID{"wk-000001"}); err == nil {
+			f.commit(t, txn)
+			break
+		}
+		txn = f.ledger.NewTransaction()
+		if err := txn.DeleteTaskRanges("wk-000001"); err != nil {
+			t.Fatalf("delete ranges: %v", err)
+		}
+		f.commit(t, txn)
+	}
+	for _, item := range f.store.Items() {
+		if strings.Contains(item.Key, "wk-000001") && !ledger.IsFinalKey(item.Key) {
+			t.Errorf("archived: got record %s left", item.Key)
+		}
+	}
+}
+
+// TestCancelLargeJobAfterTheLimitFalls: the record of a large job is cancelled under the new limit, if need be
+// after some of its ranges were given a part, and its tasks are released afterwards.
+func TestCancelLargeJobAfterTheLimitFalls(t *testing.T) {
+	for _, tasks := range []int{9, 40, 120, 320} {
+		f := largeJob(t, tasks)
+		f.lower(t)
+		j := f.ledger.Job("wk-000001")
+		for range tasks {
+			txn := f.ledger.NewTransaction()
+			_, err := txn.Cancel(j)
+			if err == nil {
+				f.commit(t, txn)
+				break
+			}
+			if !errors.Is(err, ledger.ErrTooLarge) {
+				t.Fatalf("%d tasks: cancel: got error %v, want ErrTooLarge", tasks, err)
+			}
+			f.run(t, func(txn *ledger.Transaction) error { return txn.WriteParts(j) })
+		}
+		if j.State != ledger.Cancelled {
+			t.Fatalf("%d tasks: got state %q, want cancelled", tasks, j.State)
+		}
+		rng := rand.New(rand.NewPCG(1, uint64(tasks)))
+		for f.ledger.Job("wk-000001") != nil && f.endOne(t, j, rng, ledger.TaskStopped) {
+			continue
+		}
+		if j.Claimed != 0 || len(f.store.Problems) > 0 {
+			t.Errorf("%d tasks: got %d claims left, refused %v, want none", tasks, j.Claimed, f.store.Problems)
+		}
+	}
+}
+
+// TestNoPartsBeforeTheFormat: while a version may serve that does not read parts, none is written, and what is
+// written may be as large as before.
+func TestNoPartsBeforeTheFormat(t *testing.T) {
+	f := largeJob(t, 100)
+	f.ledger = f.loadWith(loweredLimits)
+	j := f.ledger.Job("wk-000001")
+	rng := rand.New(rand.NewPCG(1, 1))
+	refused := 0
+	for range 30 {
+		txn := f.ledger.NewTransaction()
+		var claim ledger.Claim
+		j.Claims(func(c ledger.Claim) bool { claim = c; return rng.IntN(5) > 0 })
+		if _, err := txn.ReleaseTasks(j, claim, []wire.TaskIndex{claim.First}, ledger.TaskCompleted); err != nil {
+			refused++
+			continue
+		}
+		f.commit(t, txn)
+	}
+	for _, item := range f.store.Items() {
+		if strings.HasPrefix(item.Key, "mm1/s/") {
+			t.Fatalf("got part %s in format 3", item.Key)
+		}
+	}
+	if refused > 0 {
+		t.Errorf("got %d ends refused while the limit is the old one, want 0", refused)
+	}
+}
+
+// TestNewJobsFitTheLoweredLimit: jobs that are accepted from the upgrade on have records that fit both limits
+// however their tasks are claimed, also before the format rose, so that both versions work on them.
+func TestNewJobsFitTheLoweredLimit(t *testing.T) {
+	f := newFixture(usualLimits)
+	f.ledger = ledger.New(loweredLimits)
+	f.store.Value = loweredLimits.ValueBytes
+	j := f.submit(t, arraySpec("wk-000001", 100))
+	old := f.loadWith(usualLimits)
+	for machine := range 100 {
+		l := f.ledger
+		if machine%2 == 1 {
+			l = old
+		}
+		txn := l.NewTransaction()
+		if _, err := txn.Claim(l.Job(j.ID), target(machine, 7), 1, nil); err != nil {
+			t.Fatal(err)
+		}
+		request, err := txn.Request()
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision, err := f.store.Apply(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range request.Then {
+			for _, l := range []*ledger.Ledger{f.ledger, old} {
+				l.Apply(ledger.Event{Key: c.Put, Value: c.Value, Version: revision})
+			}
+		}
+	}
+	if j.Claimed != 100 || len(f.store.Problems) > 0 {
+		t.Errorf("got %d claimed, refused %v, want 100 and none", j.Claimed, f.store.Problems)
+	}
+}
--- a/internal/state/ledger/format.go
+++ b/internal/state/ledger/format.go
@@ -24,6 +24,8 @@
 	// Fresh says that every controller that ever served these records reads the format, so that no
 	// late transaction of an older version has to be waited for.
 	Fresh bool `json:"fresh,omitempty"`
+	// Range is how many tasks share a record that does not say, from PipelineFormat on.
+	Range int `json:"range,omitempty"`
 	// Era is part of the names of scale-out requests. It differs from that before an import: revisions
 	// start again then, and the cloud remembers names for ever.
 	Era string `json:"era,omitempty"`
@@ -59,6 +61,9 @@
 		txn.conditions[FormatKey] = version
 		txn.conditions[TokenKey] = txn.ledger.tokenVersion
 		r := FormatRecord{Format: to, At: at, Fresh: txn.ledger.token.Reads >= to, Era: current.Era}
+		if to >= PipelineFormat {
+			r.Range = txn.ledger.usualRange()
+		}
 		if current.Format >= ArchiveFormat {
 			// A late transaction of a version before galleries is conditioned on the records that it
 			// writes: nothing has to wait for it, and the archive's wait does not start again.
--- a/internal/state/ledger/job.go
+++ b/internal/state/ledger/job.go
@@ -30,9 +30,14 @@
 	readyAt    wire.UnixMillis         // when the last dependency was done, as far as it is on record
 	urgency    urgency                 // its own and that of the jobs that need it; empty if it is not active
 
+	version       wire.Revision      // of its own record
 	ranges        map[int]*TaskRange // the ranges on record by number; range 0 is always there
-	tasksPerRange int                // tasks that share a record
-	finalDone     int                // tasks done of a finished job whose ranges are being deleted
+	tasksPerRange int                // tasks of a range
+	storedRange   int                // tasks that share a record; more than tasksPerRange in a divided job
+	long          bool               // a range may have more tasks than its record has room for claims
+	// storedVersions are the versions of the records of the stored ranges of a divided job, by number.
+	storedVersions map[int]wire.Revision
+	finalDone      int // tasks done of a finished job whose ranges are being deleted
 }
 
 // Pending returns the number of tasks that may be claimed: neither done nor claimed, 0 if the job is over
@@ -62,8 +67,9 @@
 
 // TaskDone reports whether a task is on record as done.
 func (j *Job) TaskDone(t wire.TaskIndex) bool {
-	r := j.ranges[int(t)/j.tasksPerRange]
-	return r != nil && r.isDone(int(t)%j.tasksPerRange)
+	n := j.rangeOf(t)
+	r := j.ranges[n]
+	return r != nil && r.isDone(int(t)-j.rangeBounds(n).first)
 }
 
 // DoneTasks returns how many of the job's tasks are done, also while its ranges are being deleted.
@@ -106,7 +112,8 @@
 
 // TaskRange is a range of a job's tasks, which share a record, as last seen.
 type TaskRange struct {
-	Version wire.Revision
+	Version wire.Revision // of the record that it is in
+	hasPart bool          // that is a part, see division.go
 	taskRangeRecord
 	doneTasks    int
 	claimedTasks int
@@ -143,15 +150,6 @@
 	return n
 }
 
-// rangeBounds are the tasks [first, first+length) of a job, which share a record.
-type rangeBounds struct{ first, length int }
-
-// rangeBounds returns the tasks of the n-th range.
-func (j *Job) rangeBounds(n int) rangeBounds {
-	first := n * j.tasksPerRange
-	return rangeBounds{first, min(j.tasksPerRange, j.Spec.Tasks-first)}
-}
-
 // HeldClaim is a claim as indexed by its machine.
 type HeldClaim struct {
 	Job *Job
--- a/internal/state/ledger/job_update.go
+++ b/internal/state/ledger/job_update.go
@@ -14,12 +14,14 @@
 	stop      wire.Attempt
 	spec      *wire.JobSpec
 	accepted  wire.UnixMillis
-	longRange int // tasks that share a record; 0 if they are Limits.TasksPerRange
+	longRange int // tasks that share a record; 0 if they are the usual number
 	finalDone int // see Job
 
 	gallery wire.GalleryName
 	ended   wire.UnixMillis
 	ranges  map[int]*taskRangeRecord // copies of those read so far; the others are as in job
+	// newParts are the ranges of a divided job that get a record of their own.
+	newParts []int
 }
 
 // taskRange returns the copy of the n-th range's record, which may be changed.
@@ -50,7 +52,7 @@
 			FinalDone:       u.finalDone,
 			Gallery:         u.gallery,
 			Ended:           u.ended,
-			taskRangeRecord: *u.taskRange(0),
+			taskRangeRecord: *u.storedRange(0),
 		},
 	)
 }
--- a/internal/state/ledger/keys.go
+++ b/internal/state/ledger/keys.go
@@ -40,6 +40,7 @@
 const (
 	jobPrefix         = Prefix + "j/" // jobRecord, by job
 	taskRangePrefix   = Prefix + "t/" // taskRangeRecord, by job and number of the range, from 1
+	partPrefix        = Prefix + "s/" // taskRangeRecord, by job and number of the range of a divided job
 	machinePrefix     = Prefix + "m/" // machineRecord, by machine
 	teamPrefix        = Prefix + "u/" // teamRecord, by quoted team: its usage
 	memberPrefix      = Prefix + "n/" // status of a controller ("node"), by member
@@ -84,6 +85,16 @@
 	return wire.JobID(id), i, ok && err == nil && i > 0
 }
 
+// partKey returns the key of the part of the n-th range of a divided job.
+func partKey(id wire.JobID, n int) string { return fmt.Sprintf("%s%s/%d", partPrefix, id, n) }
+
+// parsePartKey splits what follows partPrefix in a key.
+func parsePartKey(rest string) (wire.JobID, int, bool) {
+	id, n, ok := strings.Cut(rest, "/")
+	i, err := strconv.Atoi(n)
+	return wire.JobID(id), i, ok && err == nil && i >= 0
+}
+
 // machineKey returns the key of a machine's phase.
 func machineKey(id wire.MachineID) string { return machinePrefix + string(id) }
 
@@ -155,6 +166,7 @@
 var recordKindNames = []struct{ prefix, kind string }{
 	{jobPrefix, "jobs"},
 	{taskRangePrefix, "ranges of jobs"},
+	{partPrefix, "parts of ranges"},
 	{machinePrefix, "marks of machines"},
 	{teamPrefix, "teams"},
 	{memberPrefix, "members"},
--- a/internal/state/ledger/records.go
+++ b/internal/state/ledger/records.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -24,6 +25,14 @@
 	Claims  claimList    `json:"c,omitempty"`
 }
 
+// encode returns the record's JSON.
+func (r *taskRangeRecord) encode() ([]byte, error) { return json.Marshal(r) }
+
+// decodeInto decodes a record.
+func decodeInto(value json.RawMessage, record *taskRangeRecord) error {
+	return json.Unmarshal(value, record)
+}
+
 // jobRecord is the record of a job. The first range of its tasks is part of it.
 type jobRecord struct {
 	Spec      *wire.JobSpec   `json:"spec"`
--- a/internal/state/ledger/transaction.go
+++ b/internal/state/ledger/transaction.go
@@ -69,31 +69,111 @@
 			ended:     j.Ended,
 			ranges:    map[int]*taskRangeRecord{},
 		}
-		if j.tasksPerRange != txn.ledger.limits.TasksPerRange() {
-			update.longRange = j.tasksPerRange
+		if j.storedRange != txn.ledger.usualRange() {
+			update.longRange = j.storedRange
 		}
 		txn.jobs[j.ID] = update
 	}
 	return update
 }
 
-// requireRange adds the condition that the record of a range is as in the ledger.
+// requireJob adds the condition that a job's own record is as in the ledger: its state, zones and stop.
+func (txn *Transaction) requireJob(j *Job) { txn.conditions[jobKey(j.ID)] = j.version }
+
+// requireRange adds the condition that the record of a range is as in the ledger, and that a range of a
+// divided job without a part has got none.
 func (txn *Transaction) requireRange(j *Job, n int) {
-	var v wire.Revision
-	if r := j.ranges[n]; r != nil {
-		v = r.Version
+	if r := j.ranges[n]; r != nil && r.hasPart {
+		txn.conditions[partKey(j.ID, n)] = r.Version
+		return
+	}
+	stored := j.storedIndex(n)
+	txn.conditions[taskRangeKey(j.ID, stored)] = j.storedVersion(stored)
+	if j.divided() {
+		txn.conditions[partKey(j.ID, n)] = 0
 	}
-	txn.conditions[taskRangeKey(j.ID, n)] = v
 }
 
-// putRange writes the record of a range, on the condition that it is as in the ledger.
+// putRange writes the record of a range, on the condition that it is as in the ledger. A range of a divided
+// job whose stored range has become too large gets a part.
 func (txn *Transaction) putRange(update *jobUpdate, n int) {
-	txn.requireRange(update.job, n)
-	var v any = update.taskRange(n)
+	j := update.job
+	txn.requireRange(j, n)
+	stored := j.storedIndex(n)
+	if j.divided() && (update.hasPart(n) || !txn.fits(update, stored)) {
+		txn.putPart(update, n)
+		return
+	}
+	txn.putStored(update, stored)
+}
+
+// putStored writes the record of a stored range.
+func (txn *Transaction) putStored(update *jobUpdate, n int) {
 	if n == 0 {
-		v = update
+		txn.put(jobKey(update.job.ID), update)
+		return
+	}
+	txn.put(taskRangeKey(update.job.ID, n), storedValue{update, n})
+}
+
+// putPart writes the part of a range.
+func (txn *Transaction) putPart(update *jobUpdate, n int) {
+	if !update.hasPart(n) {
+		update.newParts = append(update.newParts, n)
+	}
+	txn.put(partKey(update.job.ID, n), partValue{update, n})
+}
+
+// fits reports whether the record of a stored range is within the limit of values.
+func (txn *Transaction) fits(update *jobUpdate, n int) bool {
+	var b []byte
+	var err error
+	if n == 0 {
+		b, err = json.Marshal(update)
+	} else {
+		b, err = json.Marshal(storedValue{update, n})
+	}
+	return err == nil && len(b) <= txn.ledger.limits.ValueBytes
+}
+
+// putJob writes a job's own record, on the condition that it is as in the ledger. Of a divided job as many
+// ranges get a part as the record is too large.
+func (txn *Transaction) putJob(update *jobUpdate) {
+	j := update.job
+	txn.requireJob(j)
+	if j.divided() {
+		for n := min(j.rangesPerStored(), j.rangeCount()) - 1; n >= 0 && !txn.fits(update, 0); n-- {
+			if !update.hasPart(n) && len(update.currentRange(n).Claims) > 0 {
+				txn.requireRange(j, n)
+				txn.putPart(update, n)
+			}
+		}
 	}
-	txn.put(taskRangeKey(update.job.ID, n), v)
+	txn.put(jobKey(j.ID), update)
+}
+
+// WriteParts gives ranges of a divided job whose own record is too large to be written a part, as many as the
+// transaction has room for. It returns ErrPreconditionFailed if there are none.
+func (txn *Transaction) WriteParts(j *Job) error {
+	return txn.atomically(func() error {
+		update := txn.update(j)
+		written := 0
+		for n := range min(j.rangesPerStored(), j.rangeCount()) {
+			full := len(txn.values) >= txn.maxChanges || len(txn.conditions)+2 > conditionsPerChange*txn.maxChanges
+			if !j.divided() || full || txn.fits(update, 0) {
+				break
+			}
+			if !update.hasPart(n) && len(update.currentRange(n).Claims) > 0 {
+				txn.requireRange(j, n)
+				txn.putPart(update, n)
+				written++
+			}
+		}
+		if written == 0 {
+			return ErrPreconditionFailed
+		}
+		return nil
+	})
 }
 
 // put writes a record.
@@ -139,13 +219,18 @@
 		savedUpdate.ranges = make(map[int]*taskRangeRecord, len(update.ranges))
 		for n, r := range update.ranges {
 			savedUpdate.ranges[n] = &taskRangeRecord{r.Attempt, slices.Clone(r.Done), slices.Clone(r.Claims)}
-			if n > 0 && saved.values[taskRangeKey(id, n)] != nil {
-				saved.values[taskRangeKey(id, n)] = savedUpdate.ranges[n]
-			}
 		}
+		savedUpdate.newParts = slices.Clone(update.newParts)
 		saved.jobs[id] = &savedUpdate
-		if saved.values[jobKey(id)] != nil {
-			saved.values[jobKey(id)] = &savedUpdate
+	}
+	for key, value := range saved.values {
+		switch v := value.(type) {
+		case *jobUpdate:
+			saved.values[key] = saved.jobs[v.job.ID]
+		case partValue:
+			saved.values[key] = partValue{saved.jobs[v.update.job.ID], v.n}
+		case storedValue:
+			saved.values[key] = storedValue{saved.jobs[v.update.job.ID], v.n}
 		}
 	}
 	return &saved
@@ -184,7 +269,7 @@
 			size = len(b)
 			txn.sizes[key] = size
 		}
-		if size > limits.ValueBytes {
+		if size > txn.ledger.valueLimit() {
 			return ErrTooLarge
 		}
 		total += size + keyBytes
--- a/internal/state/ledger/transaction_archive.go
+++ b/internal/state/ledger/transaction_archive.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 
 	"maddermill/wire"
@@ -38,7 +40,7 @@
 // countKeys returns how many keys a job's records take.
 func (l *Ledger) countKeys(id wire.JobID) int {
 	if j := l.jobs[id]; j != nil {
-		return len(j.ranges)
+		return 1 + len(j.recordVersions())
 	}
 	return 1
 }
@@ -60,9 +62,12 @@
 			txn.remove(jobKey(id))
 		} else {
 			j := txn.ledger.jobs[id]
-			for n := range j.ranges {
-				txn.requireRange(j, n)
-				txn.remove(taskRangeKey(id, n))
+			txn.requireJob(j)
+			txn.remove(jobKey(id))
+			versions := j.recordVersions()
+			for _, key := range slices.Sorted(maps.Keys(versions)) {
+				txn.conditions[key] = versions[key]
+				txn.remove(key)
 			}
 		}
 		txn.conditions[FinalKey(id)] = 0
@@ -77,17 +82,18 @@
 // own record.
 func (txn *Transaction) DeleteTaskRanges(id wire.JobID) error {
 	j := txn.ledger.jobs[id]
-	if !txn.archiveEnabled() || j == nil || len(j.ranges) < 2 || !txn.ledger.Archivable(id) {
+	if !txn.archiveEnabled() || j == nil || len(j.recordVersions()) == 0 || !txn.ledger.Archivable(id) {
 		return refuse("delete task ranges", id)
 	}
 	return txn.atomically(func() error {
 		update := txn.update(j)
 		update.finalDone = j.DoneTasks()
-		txn.putRange(update, 0)
-		for n := range j.ranges {
-			if n > 0 && len(txn.values) < txn.maxChanges {
-				txn.requireRange(j, n)
-				txn.remove(taskRangeKey(j.ID, n))
+		txn.putJob(update)
+		versions := j.recordVersions()
+		for _, key := range slices.Sorted(maps.Keys(versions)) {
+			if len(txn.values) < txn.maxChanges {
+				txn.conditions[key] = versions[key]
+				txn.remove(key)
 			}
 		}
 		return nil
--- a/internal/state/ledger/transaction_claims.go
+++ b/internal/state/ledger/transaction_claims.go
@@ -63,7 +63,7 @@
 			return err
 		}
 		count = min(count, zoneCapacity(j.Spec, target.Zone, update.eachClaim), txn.teamCapacity(j, count))
-		ranges := (j.Spec.Tasks + j.tasksPerRange - 1) / j.tasksPerRange
+		ranges := j.rangeCount()
 		// Controllers begin at different ranges of a large job. Those that start tasks of it at the
 		// same time seldom write the same record, and starts and ends that one records together are
 		// in few.
@@ -107,21 +107,18 @@
 	r.Attempt++
 	appendClaims(r, tasks, r.Attempt, target)
 	txn.putRange(update, n)
-	if n == 0 {
-		return
-	}
 	// Cancellation and zones are read from the job's own record; with a zone rule every start must
 	// also rewrite it.
-	txn.requireRange(j, 0)
+	txn.requireJob(j)
 	if j.Spec.OneZone || j.Spec.Spread {
-		txn.putRange(update, 0)
+		txn.putJob(update)
 	}
 }
 
 // recordCapacity returns how many of the tasks, as one start, the record of the n-th range has room for
 // however its tasks end. A record that the end of a task would make too large could never be written.
 func (txn *Transaction) recordCapacity(update *jobUpdate, n int, tasks []wire.TaskIndex) int {
-	if update.longRange == 0 || len(tasks) == 0 {
+	if !update.job.long || len(tasks) == 0 {
 		return len(tasks) // each task has room for a claim of its own
 	}
 	size := 64 + update.longRange/6 + 8 // the rest of the record, done tasks among it
@@ -137,7 +134,7 @@
 		}
 		// As much of this run of tasks as fits becomes one piece of the claim.
 		for piece := end - i; piece > 0; piece-- {
-			if size+(piece+1)/2*maxPairBytes <= txn.ledger.limits.ValueBytes {
+			if size+(piece+1)/2*maxPairBytes <= txn.ledger.valueLimit() {
 				size += (piece + 1) / 2 * maxPairBytes
 				capacity = i + piece
 				break
@@ -172,7 +169,7 @@
 		}
 		attempt := update.taskRange(0).Attempt + 1
 		var remaining []wire.TaskIndex
-		for n := 0; n*j.tasksPerRange < j.Spec.Tasks; n++ {
+		for n := range j.rangeCount() {
 			remaining = append(remaining, pendingTasks(update.taskRange(n), j.rangeBounds(n), j.tasksPerRange, nil)...)
 		}
 		total := len(remaining)
@@ -180,6 +177,7 @@
 			return ErrPreconditionFailed
 		}
 		update.taskRange(0).Attempt = attempt
+		txn.putJob(update)
 		txn.putRange(update, 0)
 		for _, part := range parts {
 			if err := txn.requireTarget(update, part.Target); err != nil {
@@ -203,11 +201,10 @@
 func (txn *Transaction) claimGangPart(
 	update *jobUpdate, tasks []wire.TaskIndex, attempt wire.Attempt, target ClaimTarget,
 ) {
-	size := update.job.tasksPerRange
 	for len(tasks) > 0 {
-		n := int(tasks[0]) / size
+		n := update.job.rangeOf(tasks[0])
 		k := 1
-		for k < len(tasks) && int(tasks[k])/size == n {
+		for k < len(tasks) && update.job.rangeOf(tasks[k]) == n {
 			k++
 		}
 		appendClaims(update.taskRange(n), tasks[:k], attempt, target)
--- a/internal/state/ledger/transaction_galleries.go
+++ b/internal/state/ledger/transaction_galleries.go
@@ -59,7 +59,7 @@
 		if update.state != Active || !txn.assignGallery(update, g) {
 			return refuse("assign gallery", j.ID)
 		}
-		txn.putRange(update, 0)
+		txn.putJob(update)
 		return nil
 	})
 }
--- a/internal/state/ledger/transaction_jobs.go
+++ b/internal/state/ledger/transaction_jobs.go
@@ -38,23 +38,15 @@
 		return err
 	}
 	return txn.atomically(func() error {
-		if spec.Shape == wire.Gang && spec.Tasks > (limits.TxnOps-1)*limits.TasksPerRange() {
+		if spec.Shape == wire.Gang && spec.Tasks > (limits.TxnOps-1)*txn.ledger.newRange(spec) {
 			return fmt.Errorf("%w: a gang starts in one transaction", ErrTooLarge)
 		}
-		j := &Job{
-			ID:            spec.ID,
-			Spec:          spec,
-			Accepted:      s.At,
-			State:         state,
-			tasksPerRange: txn.ledger.longRangeTasks(spec),
-		}
+		j := &Job{ID: spec.ID, Spec: spec, Accepted: s.At, State: state, storedRange: txn.ledger.newRange(spec)}
+		j.tasksPerRange = j.storedRange
 		if s.workflow != nil {
 			j.Workflow = s.workflow.ID
 		}
-		long := j.tasksPerRange > 0
-		if !long {
-			j.tasksPerRange = limits.TasksPerRange()
-		}
+		long := txn.ledger.isLong(spec, j.storedRange)
 		update := txn.update(j)
 		if s.Gallery != nil && !txn.assignGallery(update, s.Gallery) {
 			return refuse("submit job", spec.ID)
@@ -122,7 +114,7 @@
 	err := txn.atomically(func() error {
 		update := txn.update(j)
 		update.state = Cancelled
-		txn.putRange(update, 0)
+		txn.putJob(update)
 		return nil
 	})
 	return Cancelled, err
@@ -136,7 +128,7 @@
 			return refuse("preempt gang", j.ID)
 		}
 		update.stop = upTo
-		txn.putRange(update, 0)
+		txn.putJob(update)
 		return nil
 	})
 }
@@ -151,7 +143,7 @@
 			return refuse("complete job", j.ID)
 		}
 		txn.completeJob(update)
-		txn.putRange(update, 0)
+		txn.putJob(update)
 		return nil
 	})
 }
--- a/internal/state/ledger/transaction_releases.go
+++ b/internal/state/ledger/transaction_releases.go
@@ -21,20 +21,21 @@
 // must be of one range, as those of a HeldClaim are. It returns ErrPreconditionFailed, not wrapped, if
 // none of the tasks is under the claim.
 func (txn *Transaction) ReleaseTasks(j *Job, claim Claim, tasks []wire.TaskIndex, end TaskEnd) (int, error) {
-	n := int(tasks[0]) / j.tasksPerRange
+	n := j.rangeOf(tasks[0])
+	first := j.rangeBounds(n).first
 	released := 0
 	err := txn.atomically(func() error {
 		update := txn.update(j)
 		r := update.taskRange(n)
 		for _, task := range tasks {
 			at := slices.IndexFunc(r.Claims, func(o Claim) bool { return o.Covers(task) && o.sameStart(&claim) })
-			if at < 0 || int(task)/j.tasksPerRange != n {
+			if at < 0 || j.rangeOf(task) != n {
 				continue
 			}
 			r.Claims = removeTask(r.Claims, at, task)
 			released++
 			if end == TaskCompleted && j.Spec.Shape != wire.Service {
-				r.setDone(int(task) % j.tasksPerRange)
+				r.setDone(int(task) - first)
 			}
 		}
 		if released == 0 {
@@ -44,7 +45,7 @@
 		txn.putRange(update, n)
 		if end == TaskCompleted && update.state == Active && update.allDone() {
 			txn.completeJob(update)
-			txn.putRange(update, 0)
+			txn.putJob(update)
 		}
 		return nil
 	})
@@ -72,7 +73,7 @@
 					return false
 				}
 				for i := range claim.Count {
-					r.setDone((int(claim.First) + i) % j.tasksPerRange)
+					r.setDone(int(claim.First) + i - j.rangeBounds(n).first)
 				}
 				released += claim.Count
 				return true
@@ -87,7 +88,7 @@
 		txn.teamUsage[j.Spec.Team] = txn.teamUsage[j.Spec.Team].Add(j.Need, -released)
 		if update.allDone() {
 			txn.completeJob(update)
-			txn.putRange(update, 0)
+			txn.putJob(update)
 		}
 		return nil
 	})
--- a/internal/state/ledger/verify.go
+++ b/internal/state/ledger/verify.go
@@ -146,7 +146,7 @@
 
 // checkJob checks a job that the ledger keeps whole.
 func (v *verifier) checkJob(key string, j *Job) {
-	ranges := (j.Spec.Tasks + j.tasksPerRange - 1) / j.tasksPerRange
+	ranges := j.rangeCount()
 	all := &jobClaims{make([]bool, j.Spec.Tasks), map[wire.Attempt]bool{}, map[wire.Zone]int{}}
 	for n, r := range j.ranges {
 		if n >= ranges {
@@ -192,7 +192,8 @@
 // checkRange checks a range of a job's tasks and adds its claims to those of the job.
 func (v *verifier) checkRange(j *Job, n int, r *TaskRange, all *jobClaims) {
 	key := taskRangeKey(j.ID, n)
-	first, end := n*j.tasksPerRange, min(j.Spec.Tasks, (n+1)*j.tasksPerRange)
+	bounds := j.rangeBounds(n)
+	first, end := bounds.first, bounds.first+bounds.length
 	for i := end - first; i < 8*len(r.Done); i++ {
 		if r.isDone(i) {
 			v.report(key, "task %d is done, and there is none", first+i)
--- a/internal/testing/controllertest/parts.go
+++ b/internal/testing/controllertest/parts.go
@@ -60,11 +60,12 @@
 	set := Settings(tb, member)
 	p := &Parts{
 		Set:   set,
-		Store: emulator.NewLink(emulator.NewStore(set.Cluster.State.TxnOps, set.ValueBytes()), uint64(member+1)),
+		Store: emulator.NewLink(emulator.NewStore(set.StateLimits().TxnOps, set.StateLimits().ValueBytes), uint64(member+1)),
 		Stats: metrics.New(),
 		Log:   slog.New(slog.DiscardHandler),
 	}
-	limits := ledger.Limits{ValueBytes: set.ValueBytes(), TxnOps: set.Cluster.State.TxnOps, TxnBytes: kvstore.TxnBytes}
+	state := set.StateLimits()
+	limits := ledger.Limits{ValueBytes: state.ValueBytes, TxnOps: state.TxnOps, TxnBytes: kvstore.TxnBytes}
 	p.Cache = watchcache.New(
 		watchcache.Options{Member: set.Member, Limits: limits, Requests: 60, Reads: ledger.NewestFormat},
 		p.Store,
--- a/internal/workflow/runner/documents.go
+++ b/internal/workflow/runner/documents.go
@@ -29,7 +29,7 @@
 
 // writePieces writes documents under their hash, so that writing them twice is idempotent.
 func (r *Runner) writePieces(ctx context.Context, hash string, pieces []string) error {
-	limits := ledger.Limits{TxnOps: r.settings.Cluster.State.TxnOps, TxnBytes: kvstore.TxnBytes}
+	limits := ledger.Limits{TxnOps: r.settings.StateLimits().TxnOps, TxnBytes: kvstore.TxnBytes}
 	batch := ledger.Batch{Limits: limits, Commit: func(changes []wire.Change) error {
 		_, err := r.keyValues.Commit(ctx, wire.Txn{Then: changes})
 		return err
@@ -61,7 +61,7 @@
 		return "", nil, err
 	}
 	sum := sha256.Sum256(packed.Bytes())
-	size := (r.settings.ValueBytes() - 64) / 4 * 3
+	size := (r.settings.StateLimits().ValueBytes - 64) / 4 * 3
 	for part := range slices.Chunk(packed.Bytes(), size) {
 		pieces = append(pieces, base64.StdEncoding.EncodeToString(part))
 	}
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -129,7 +129,7 @@
 			own = r.ownWorkflows(time.Now())
 		}
 		r.Cache.Unlock()
-		budget := max(1, int(r.settings.Cluster.State.WriteRPS/float64(r.settings.Cluster.Count)*stepShare))
+		budget := max(1, int(r.settings.StateLimits().WriteRPS/float64(r.settings.Cluster.Count)*stepShare))
 		for i, w := range own {
 			// What is left of the budget is shared among those that are left.
 			share := max(1, budget/(len(own)-i))
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -58,7 +58,6 @@
 //	stash_s         JobSpec.Save                time to save a checkpoint
 //	due_s           JobSpec.Deadline            deadline, counted from the submission
 //	awaits          JobSpec.Dependencies        jobs that must be done before a task starts
-//	awaits          JobStatus.WaitingFor        dependencies that are not done yet
 //	bundle          WorkflowSpec.Bundle         documents of the workflow, by path
 //	window          WorkflowSpec.Window         steps submitted at once
 //	why             WorkflowStatus.Reason       reason of a failure
