--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -97,13 +97,19 @@
 
 // submit submits a job to any controller. Fields that are left out are filled in.
 func (cluster *testCluster) submit(ctx context.Context, spec *wire.JobSpec) {
+	*spec = cluster.filledIn(*spec)
+	cluster.world.Upload(spec)
+	cluster.queryAny(ctx, spec.ID, submitRequest(spec))
+}
+
+// filledIn returns a job with the fields filled in that are left out.
+func (cluster *testCluster) filledIn(spec wire.JobSpec) wire.JobSpec {
 	if spec.Class == "" {
 		spec.Class, spec.Team, spec.Priority = "c", "free", wire.Normal
 		spec.CPUs, spec.MemoryGB, spec.Spot = 1, 1, true
 		spec.Image, spec.ImageGB, spec.Estimate = "img-0", 2, 60
 	}
-	cluster.world.Upload(spec)
-	cluster.queryAny(ctx, spec.ID, submitRequest(spec))
+	return spec
 }
 
 // cancelElsewhere has controllers other than one cancel a job, each in turn, until one answers that it
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,14 @@
 	Share  float64      `toml:"share"`
 }
 
+// NextStateLimits are limits that the state service will have. Those that are left out stay as they are.
+type NextStateLimits struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
 // Settings are all settings of a controller. The types of its fields have no names, and their order
 // stays: errors of the TOML decoder print them.
 type Settings struct {
@@ -76,13 +84,8 @@
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
 			// Next are the limits that the state service will have from some moment on, of which
-			// nobody tells; nil: the same. Its fields that are left out stay as they are.
-			Next *struct {
-				RPS      *float64 `toml:"rps"`
-				WriteRPS *float64 `toml:"write_rps"`
-				ValueKB  *float64 `toml:"value_kb"`
-				TxnOps   *int     `toml:"txn_ops"`
-			} `toml:"next"`
+			// nobody tells; nil: the same.
+			Next *NextStateLimits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS     float64      `toml:"rps"`
--- a/internal/testing/emulator/store.go
+++ b/internal/testing/emulator/store.go
@@ -30,6 +30,13 @@
 	"maddermill/wire"
 )
 
+// SetLimits changes the limits of transactions and values. What is stored stays.
+func (s *Store) SetLimits(txnOps, valueBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.TxnOps, s.Value = txnOps, valueBytes
+}
+
 // logLimit is how many events the store keeps for watches.
 const logLimit = 10_000
 
--- a/internal/testing/emulator/world.go
+++ b/internal/testing/emulator/world.go
@@ -121,6 +121,37 @@
 	if before.status != status {
 		w.reported[id] = reportedStatus{status, time.Now()}
 	}
+	if (status == wire.Queued || status == wire.Running) && w.ancestorCancelledBefore(id, time.Now().Add(-w.CancelS)) {
+		w.violate("orphaned " + string(id))
+	}
+}
+
+// ancestorCancelledBefore reports whether a user was told before a time that a job is cancelled which another
+// needs, directly or through others. w.mu is held.
+func (w *World) ancestorCancelledBefore(id wire.JobID, at time.Time) bool {
+	spec := w.specs[id]
+	if spec == nil {
+		return false
+	}
+	for _, dependency := range spec.Dependencies {
+		told := w.reported[dependency]
+		if told.status == wire.Cancelled && told.since.Before(at) || w.ancestorCancelledBefore(dependency, at) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkDependencies checks that all jobs are done that a starting task's job needs. w.mu is held.
+func (w *World) checkDependencies(t wire.TaskID, spec *wire.JobSpec) {
+	for _, id := range spec.Dependencies {
+		for i := range w.specs[id].Tasks {
+			if !w.done[wire.TaskID{Job: id, Index: wire.TaskIndex(i)}] {
+				w.violate("too_early " + t.String() + " before " + string(id))
+				break
+			}
+		}
+	}
 }
 
 // start places a task on a machine and checks the rules on it. w.mu is held.
@@ -135,6 +166,7 @@
 	}
 	w.checkMachine(m, t, spec)
 	w.checkZones(m, t, spec)
+	w.checkDependencies(t, spec)
 	w.placed[t], w.zones[t] = m.Type.ID, m.Type.Zone
 	if w.seen[t.Job] == nil {
 		w.seen[t.Job] = map[wire.TaskIndex]bool{}
