--- a/internal/server/api/api_test.go
+++ b/internal/server/api/api_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -14,6 +15,7 @@
 	"maddermill/internal/server"
 	"maddermill/internal/server/api"
 	"maddermill/internal/state/kvstore"
+	"maddermill/internal/state/ledger"
 	"maddermill/internal/supervise"
 	"maddermill/internal/transport"
 	"maddermill/internal/transport/http1"
@@ -30,6 +32,9 @@
 }
 
 func (service) Submit(_ context.Context, s *wire.JobSpec) (wire.JobStatus, bool, error) {
+	if len(s.Dependencies) > 5 {
+		return wire.JobStatus{}, false, ledger.ErrTooManyDependencies
+	}
 	if s.Team == "nobody" {
 		return wire.JobStatus{}, false, errors.Join(server.ErrUnschedulable, errors.New("unknown team"))
 	}
@@ -319,3 +324,46 @@
 		}
 	}
 }
+
+// TestSubmissionsWithDependencies: what is wrong with the jobs that a submission names is told with the field,
+// and nothing else is taken for a list of jobs.
+func TestSubmissionsWithDependencies(t *testing.T) {
+	s := newTestServer(t)
+	const job = `{"id":"wk-000001","workclass":"c","owner":"t","shape":"array","urgency":"normal","pieces":1,` +
+		`"cores":1,"accelerators":0,"ram_gb":1,"bundle":"i","pull_gb":1,"builds":null,"yard":null,"together":false,` +
+		`"scatter":false,"loaners":false,"expect_s":1,"snapshot_s":0,"stash_s":0,"due_s":null,"awaits":`
+	tooMany := strings.TrimSuffix(strings.Repeat(`"wk-000002",`, 5000), ",")
+	var distinct []string
+	for i := range 6 {
+		distinct = append(distinct, fmt.Sprintf(`"wk-00001%d"`, i))
+	}
+	for _, tc := range []struct {
+		name, awaits string
+		status       int
+	}{
+		{"omitted as null", `null`, 201},
+		{"empty", `[]`, 201},
+		{"one", `["wk-000002"]`, 201},
+		{"duplicates count once", `[` + tooMany + `]`, 201},
+		{"not a list", `"wk-000002"`, 400},
+		{"numbers", `[2]`, 400},
+		{"objects", `[{"id":"wk-000002"}]`, 400},
+		{"null within", `[null]`, 400},
+		{"bad form", `["wk-2"]`, 400},
+		{"more than can be kept", `[` + strings.Join(distinct, ",") + `]`, 400},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			response, err := s.client.Do(t.Context(),
+				&http1.Request{Method: "POST", Path: "/api/jobs", Body: []byte(job + tc.awaits + "}")})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.Status != tc.status {
+				t.Errorf("got status %d with %s, want %d", response.Status, response.Body, tc.status)
+			}
+			if response.Status == 400 && !strings.Contains(string(response.Body), "awaits") {
+				t.Errorf("got %s, want it to name the field", response.Body)
+			}
+		})
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,6 +67,11 @@
 		{`rps = 250.0`, `rps = nan`, "settings.state.rps"},
 		{`value_kb = 32.0`, `value_kb = 1.0`, "settings.state.value_kb"},
 		{`txn_ops = 40`, `txn_ops = 1`, "settings.state.txn_ops"},
+		{`[settings.cloud]`, "[settings.state.next]\nvalue_kb = 1.0\n[settings.cloud]", "settings.state.next.value_kb"},
+		{`[settings.cloud]`, "[settings.state.next]\ntxn_ops = 1\n[settings.cloud]", "settings.state.next.txn_ops"},
+		{`[settings.cloud]`, "[settings.state.next]\nwrite_rps = -1.0\n[settings.cloud]", "settings.state.next.write_rps"},
+		{`[settings.cloud]`, "[settings.state.next]\nrps = inf\n[settings.cloud]", "settings.state.next.rps"},
+		{`[settings.cloud]`, "[settings.state.next]\nrps = \"x\"\n[settings.cloud]", "rps"},
 	} {
 		_, err := Parse([]byte(strings.Replace(platform, tc.old, tc.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), tc.field) {
@@ -75,6 +80,32 @@
 	}
 }
 
+// TestNextLimits: what is written keeps to the smaller of the limits that the state service has and will have.
+func TestNextLimits(t *testing.T) {
+	with := func(next string) StateLimits {
+		s, err := Parse([]byte(strings.Replace(platform, "[settings.cloud]", next+"[settings.cloud]", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := s.CurrentStateLimits(), (StateLimits{250, 50, 32 << 10, 40}); got != want {
+			t.Errorf("current limits: got %+v, want %+v", got, want)
+		}
+		return s.StateLimits()
+	}
+	for _, tc := range []struct {
+		next string
+		want StateLimits
+	}{
+		{"", StateLimits{250, 50, 32 << 10, 40}},
+		{"[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 18.0\n", StateLimits{250, 18, 2 << 10, 4}},
+		{"[settings.state.next]\nvalue_kb = 64.0\nrps = 100.0\nlater = 1\n", StateLimits{100, 50, 32 << 10, 40}},
+	} {
+		if got := with(tc.next); got != tc.want {
+			t.Errorf("%q: got %+v, want %+v", tc.next, got, tc.want)
+		}
+	}
+}
+
 func TestOperators(t *testing.T) {
 	dir := t.TempDir()
 	config, ops := filepath.Join(dir, "p.toml"), filepath.Join(dir, "o.textproto")
