--- a/internal/controller/request_floods_test.go
+++ b/internal/controller/request_floods_test.go
@@ -50,7 +50,8 @@
 func newFloodedController(t *testing.T) (f *floodedController, stop func()) {
 	t.Helper()
 	set := newTestSettings(t, 0)
-	store := &countingLink{Link: emulator.NewLink(emulator.NewStore(set.StateLimits().TxnOps, set.StateLimits().ValueBytes), 3)}
+	limits := set.StateLimits()
+	store := &countingLink{Link: emulator.NewLink(emulator.NewStore(limits.TxnOps, limits.ValueBytes), 3)}
 	c := New(set, store, slog.New(slog.DiscardHandler))
 	machineType := ledger.Event{
 		Key:     ledger.MachineTypeKey("g2"),
--- a/internal/state/ledger/dependencies_test.go
+++ b/internal/state/ledger/dependencies_test.go
@@ -49,7 +49,8 @@
 	f.submit(t, named("wk-000002"))
 	j := f.submit(t, named("wk-000003", "wk-000001", "wk-000002"))
 	for _, first := range []wire.JobID{"wk-000001", "wk-000002"} {
-		if got, err := f.ledger.NewTransaction().Claim(j, target(2, 1), 1, nil); !errors.Is(err, ledger.ErrPreconditionFailed) {
+		got, err := f.ledger.NewTransaction().Claim(j, target(2, 1), 1, nil)
+		if !errors.Is(err, ledger.ErrPreconditionFailed) {
 			t.Errorf("claim before %s is done: got %d claimed, error %v, want it refused", first, got, err)
 		}
 		if j.Pending() != 0 || j.Status() != wire.Queued {
@@ -82,7 +83,11 @@
 		{"cancelled", "wk-000002", nil, wire.Cancelled, nil},
 		{"never accepted", "wk-000009", nil, "", ledger.ErrUnknownDependency},
 		{"itself", "wk-000103", nil, "", ledger.ErrUnknownDependency},
-		{"archived done", "wk-000008", map[wire.JobID]ledger.FinalRecord{"wk-000008": {State: ledger.Done}}, wire.Queued, nil},
+		{
+			"archived done", "wk-000008",
+			map[wire.JobID]ledger.FinalRecord{"wk-000008": {State: ledger.Done}},
+			wire.Queued, nil,
+		},
 		{
 			"archived cancelled", "wk-000007",
 			map[wire.JobID]ledger.FinalRecord{"wk-000007": {State: ledger.Cancelled}},
@@ -119,7 +124,8 @@
 		f.submit(t, named(id))
 		many = append(many, id)
 	}
-	if err := f.ledger.NewTransaction().Submit(named("wk-000500", many...), 1); !errors.Is(err, ledger.ErrTooManyDependencies) {
+	err = f.ledger.NewTransaction().Submit(named("wk-000500", many...), 1)
+	if !errors.Is(err, ledger.ErrTooManyDependencies) {
 		t.Errorf("with 300 dependencies: got error %v, want ErrTooManyDependencies", err)
 	}
 }
@@ -160,14 +166,15 @@
 	for _, state := range []ledger.JobState{ledger.Done, ledger.Cancelled} {
 		f := newPipelineFixture(t)
 		f.submit(t, named("wk-000001"))
-		j := f.submit(t, named("wk-000002", "wk-000001"))
+		f.submit(t, named("wk-000002", "wk-000001"))
 		loaded := ledger.New(limits)
 		for _, item := range f.store.Items() {
 			if item.Key != "mm1/j/wk-000001" {
 				loaded.Apply(ledger.Event{Key: item.Key, Value: item.Value, Version: item.Version})
 			}
 		}
-		if j = loaded.Job("wk-000002"); j.Ready() || !slices.Contains(slices.Collect(loaded.MissingDependencies()), "wk-000001") {
+		j, missing := loaded.Job("wk-000002"), slices.Collect(loaded.MissingDependencies())
+		if j.Ready() || !slices.Contains(missing, "wk-000001") {
 			t.Fatal("got a job ready whose dependency is not on record, want it missing")
 		}
 		loaded.ResolveDependency("wk-000001", ledger.FinalRecord{State: state})
@@ -189,7 +196,11 @@
 
 // cancelled reports whether a job or one that it needs is cancelled.
 func (m pipelineModel) cancelled(id wire.JobID) bool {
-	return m[id].state == ledger.Cancelled || m[id].state == ledger.Active && slices.ContainsFunc(m[id].spec.Dependencies, m.cancelled)
+	job := m[id]
+	if job.state == ledger.Active {
+		return slices.ContainsFunc(job.spec.Dependencies, m.cancelled)
+	}
+	return job.state == ledger.Cancelled
 }
 
 // pipelineModel is the plain model: each property is computed from all jobs.
@@ -344,3 +355,27 @@
 		}
 	}
 }
+
+// TestVerifyFindsCycles: records in which jobs need each other, which no submission can make, are reported.
+func TestVerifyFindsCycles(t *testing.T) {
+	records := map[string]ledger.Event{}
+	for i, spec := range []*wire.JobSpec{
+		named("wk-000001", "wk-000003"), named("wk-000002", "wk-000001"),
+		named("wk-000003", "wk-000002"), named("wk-000004", "wk-000001"),
+	} {
+		value, err := json.Marshal(map[string]any{"spec": spec, "at": 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := "mm1/j/" + string(spec.ID)
+		records[key] = ledger.Event{Key: key, Value: value, Version: wire.Revision(i + 1)}
+	}
+	_, problems := ledger.Verify(records, limits)
+	if len(problems) != 1 {
+		t.Errorf("a cycle of three: got %v, want one problem", problems)
+	}
+	delete(records, "mm1/j/wk-000003")
+	if _, problems := ledger.Verify(records, limits); len(problems) > 1 {
+		t.Errorf("without the cycle: got %v, want at most that one is missing", problems)
+	}
+}
--- a/internal/state/ledger/verify.go
+++ b/internal/state/ledger/verify.go
@@ -63,6 +63,7 @@
 	}
 	v.checkSeries()
 	v.checkTeams()
+	v.checkDependencies()
 	slices.SortFunc(v.problems, func(a, b Problem) int { return strings.Compare(a.String(), b.String()) })
 	return v.ledger, v.problems
 }
--- a/internal/testing/upgrade/upgrade_test.go
+++ b/internal/testing/upgrade/upgrade_test.go
@@ -118,7 +118,7 @@
 	d.state = d.serve(emulator.StateHandler(emulator.NewLink(d.store, 1)))
 	d.cloudAddr = d.serve(emulator.CloudHandler(d.cloud))
 	for range controllers {
-		d.binds, d.meshes = append(d.binds, freeAddr(t)), append(d.meshes, freeAddr(t))
+		d.binds, d.meshes = append(d.binds, freeAddr(ctx, t)), append(d.meshes, freeAddr(ctx, t))
 	}
 	for i := range controllers {
 		d.files = append(d.files, d.writeSettings(i))
@@ -139,9 +139,9 @@
 }
 
 // freeAddr returns an address on loopback that nobody listens on.
-func freeAddr(t *testing.T) string {
+func freeAddr(ctx context.Context, t *testing.T) string {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -328,6 +328,14 @@
 	return format.Format
 }
 
+// upgradeCase is an order in which processes get the new version.
+type upgradeCase struct {
+	name       string
+	order      []int
+	oldAgain   bool // a process dies before its turn and comes back with the old version
+	lowerFirst bool // the limits fall right after the last restart, else once pipelines run
+}
+
 // TestRollingUpgrade upgrades a deployment of the version in production, one process after the other, while
 // jobs run. Both versions work on each other's records; the format rises only once all have the new version;
 // pipelines are served then; and the state service comes to take only smaller values and transactions. No rule
@@ -335,12 +343,7 @@
 func TestRollingUpgrade(t *testing.T) {
 	t.Parallel()
 	production, current := buildProduction(t)
-	for _, tc := range []struct {
-		name       string
-		order      []int
-		oldAgain   bool // a process dies before its turn and comes back with the old version
-		lowerFirst bool // the limits fall right after the last restart, else once pipelines run
-	}{
+	for _, tc := range []upgradeCase{
 		{"first to last", []int{0, 1, 2}, false, false},
 		{"last to first, one back as it was", []int{2, 1, 0}, true, true},
 		{"from the middle", []int{1, 2, 0}, false, true},
@@ -348,57 +351,79 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
 			d := newDeployment(ctx, t)
-			for i := range controllers {
-				d.start(i, production)
-			}
-			for i := range 4 {
-				d.cloud.Add("small", []wire.Zone{"here", "there"}[i%2], false)
-			}
-			// 300 tasks: the record has claims for more than the new limit, and is worked on by both versions.
-			d.submit(ctx, 0, 300)
-			d.submit(ctx, 1, 3)
-			d.await(ctx, wire.Done, 1)
-			for turn, i := range tc.order {
-				d.kill(i)
-				if tc.oldAgain && turn == 1 {
-					last := tc.order[2]
-					d.kill(last)
-					d.start(last, production)
-				}
-				time.Sleep(3 * pause)
-				if got := d.format(); got >= ledger.PipelineFormat {
-					t.Errorf("before the last process has the new version: got format %d, want an older one", got)
-				}
-				d.start(i, current)
-				d.submit(ctx, 10+i, 4)
-				d.await(ctx, wire.Done, 10+i)
-			}
-			lower := func() { d.store.SetLimits(loweredTxnOps, loweredValueBytes) }
-			if tc.lowerFirst {
-				lower()
-			}
-			d.submit(ctx, 20, 12)
-			d.submit(ctx, 21, 30, 20, 0)
-			d.submit(ctx, 22, 2, 20, 21)
-			d.submit(ctx, 23, 2)
-			d.submit(ctx, 24, 2, 23, 22)
-			d.submit(ctx, 25, 2, 24)
-			if !tc.lowerFirst {
-				lower()
-			}
-			d.ask(ctx, http.MethodPost, "/api/jobs/"+string(jobID(24))+"/cancel", nil)
-			d.await(ctx, wire.Cancelled, 24, 25)
-			d.await(ctx, wire.Done, 0, 20, 21, 22, 23)
+			d.begin(ctx, production)
+			d.roll(ctx, tc, production, current)
+			d.runPipelines(ctx, tc.lowerFirst)
 			cancel()
-			d.group.Wait()
-			d.world.Check()
-			for _, rule := range d.world.Broken {
-				t.Errorf("broken rule: %s", rule)
-			}
-			for _, problem := range d.store.Problems {
-				t.Errorf("beyond the limits of the state service: %s", problem)
-			}
+			d.checkRules()
 		})
 	}
 }
+
+// begin starts all controllers with the version in production, and jobs.
+func (d *deployment) begin(ctx context.Context, production string) {
+	d.t.Helper()
+	for i := range controllers {
+		d.start(i, production)
+	}
+	for i := range 4 {
+		d.cloud.Add("small", []wire.Zone{"here", "there"}[i%2], false)
+	}
+	// 300 tasks: the record has claims for more than the new limit, and is worked on by both versions.
+	d.submit(ctx, 0, 300)
+	d.submit(ctx, 1, 3)
+	d.await(ctx, wire.Done, 1)
+}
+
+// roll replaces the processes by the current version, one after the other.
+func (d *deployment) roll(ctx context.Context, tc upgradeCase, production, current string) {
+	d.t.Helper()
+	for turn, i := range tc.order {
+		d.kill(i)
+		if tc.oldAgain && turn == 1 {
+			last := tc.order[2]
+			d.kill(last)
+			d.start(last, production)
+		}
+		time.Sleep(3 * pause)
+		if got := d.format(); got >= ledger.PipelineFormat {
+			d.t.Errorf("before the last process has the new version: got format %d, want an older one", got)
+		}
+		d.start(i, current)
+		d.submit(ctx, 10+i, 4)
+		d.await(ctx, wire.Done, 10+i)
+	}
+}
+
+// runPipelines submits pipelines, of which a part is cancelled, while the limits fall.
+func (d *deployment) runPipelines(ctx context.Context, lowerFirst bool) {
+	d.t.Helper()
+	if lowerFirst {
+		d.store.SetLimits(loweredTxnOps, loweredValueBytes)
+	}
+	d.submit(ctx, 20, 12)
+	d.submit(ctx, 21, 30, 20, 0)
+	d.submit(ctx, 22, 2, 20, 21)
+	d.submit(ctx, 23, 2)
+	d.submit(ctx, 24, 2, 23, 22)
+	d.submit(ctx, 25, 2, 24)
+	d.store.SetLimits(loweredTxnOps, loweredValueBytes)
+	d.ask(ctx, http.MethodPost, "/api/jobs/"+string(jobID(24))+"/cancel", nil)
+	d.await(ctx, wire.Cancelled, 24, 25)
+	d.await(ctx, wire.Done, 0, 20, 21, 22, 23)
+}
+
+// checkRules reports broken rules once all workers have ended.
+func (d *deployment) checkRules() {
+	d.t.Helper()
+	d.group.Wait()
+	d.world.Check()
+	for _, rule := range d.world.Broken {
+		d.t.Errorf("broken rule: %s", rule)
+	}
+	for _, problem := range d.store.Problems {
+		d.t.Errorf("beyond the limits of the state service: %s", problem)
+	}
+}
