--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -31,8 +31,8 @@
 // compared are the deployments' site files; each day of one is compared.
 var compared = []string{
 	"added/hollinsend-portraits",
-	"more/hanbit-claims-ops",
-	"more/hollinsend-galleries-ops",
+	"change/hanbit-claims-next",
+	"change/hollinsend-galleries-next",
 	"more/fleet/hanbit-claims-fleet",
 	"more/fleet/hollinsend-galleries-fleet",
 	"more/hunt/hanbit-claims-hunt",
--- a/cmd/regress/main_test.go
+++ b/cmd/regress/main_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	played(run(ctx, options{only: "nobody's"}))
-	played(run(ctx, options{only: "ops"})) // no site file is there
+	played(run(ctx, options{only: "next"})) // no site file is there
 	if _, missing, err := find(compared, ""); len(missing) != len(compared) || err == nil {
 		t.Errorf("missing %v, %v", missing, err)
 	}
