Test of workflows' status: its store is set before the controllers start

The reports failed eight tests that ran in parallel, none of which had an error of its own. Change: the store is wrapped before the start.

--- a/internal/controller/workflow_status_test.go
+++ b/internal/controller/workflow_status_test.go
@@ -41,11 +41,11 @@
 func TestWorkflowStatusIsWholeOrSaysNot(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		s, cancel := newSharedCluster(t, 3)
-		slow := &slowStepData{Store: s.stepData}
-		for i := range 3 {
-			s.controller(i).Workflows.Set(slow)
-		}
+		slow := new(slowStepData)
+		s, cancel := newSharedClusterWith(t, 3, func(s *sharedCluster) {
+			slow.Store = s.stepData
+			s.stepData = slow
+		})
 		const id = wire.WorkflowID("wf-000001")
 		s.submitWorkflow(s.ctx, workflowSpec(id, workflowCases[0].document, json.RawMessage(`{"x":"receipt"}`)))
 		for s.controller(0) != nil && s.workflowState(id) == ledger.WorkflowActive && s.ctx.Err() == nil {
--- a/internal/controller/workflow_steps_test.go
+++ b/internal/controller/workflow_steps_test.go
@@ -30,6 +30,16 @@
 
 // newSharedCluster starts a cluster with so many machines, which runs until cancel is called.
 func newSharedCluster(t *testing.T, machines int) (s *sharedCluster, cancel context.CancelFunc) {
+	t.Helper()
+	return newSharedClusterWith(t, machines, func(*sharedCluster) {})
+}
+
+// newSharedClusterWith is newSharedCluster with what is set up before the controllers start.
+func newSharedClusterWith(
+	t *testing.T,
+	machines int,
+	setUp func(*sharedCluster),
+) (s *sharedCluster, cancel context.CancelFunc) {
 	t.Helper()
 	s = &sharedCluster{testCluster: newQuietCluster(t, 3), doneAt: map[wire.JobID]time.Time{}}
 	s.cloud.Most = machines
@@ -39,6 +49,7 @@
 		defer s.doneMu.Unlock()
 		s.doneAt[id] = time.Now()
 	})
+	setUp(s)
 	s.ctx, cancel = context.WithCancel(t.Context())
 	s.start(s.ctx, machines, 0)
 	wait.For(s.ctx, 12*time.Second)
