Jobs that were ready before a load are no news; benchmark of dependencies

Cause: read again: a controller that loaded the records logged every job whose dependencies arrived after it as ready once more. Change: what is released while loading is dropped. A benchmark of the end of a dependency among waiting jobs.

--- a/internal/state/ledger/dependencies_test.go
+++ b/internal/state/ledger/dependencies_test.go
@@ -379,3 +379,36 @@
 		t.Errorf("without the cycle: got %v, want at most that one is missing", problems)
 	}
 }
+
+// BenchmarkFinishDependency: the end of a job that another names, among more and more jobs that wait for
+// others. It costs as much however many there are.
+func BenchmarkFinishDependency(b *testing.B) {
+	for _, waiting := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			l := ledger.New(limits)
+			apply := func(version int, spec *wire.JobSpec, state string) {
+				value, err := json.Marshal(map[string]any{"spec": spec, "at": 1, "state": state})
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.Apply(ledger.Event{Key: "mm1/j/" + string(spec.ID), Value: value, Version: wire.Revision(version)})
+			}
+			for i := range waiting {
+				id := wire.JobID(fmt.Sprintf("wk-%07d", 2*i))
+				apply(1, named(id), "")
+				apply(1, named(wire.JobID(fmt.Sprintf("wk-%07d", 2*i+1)), id), "")
+			}
+			first, second := named("wk-9000000"), named("wk-9000001", "wk-9000000")
+			for n := 0; b.Loop(); n++ {
+				first.ID = wire.JobID(fmt.Sprintf("wk-9%07d", 2*n))
+				second.ID = wire.JobID(fmt.Sprintf("wk-9%07d", 2*n+1))
+				second.Dependencies = []wire.JobID{first.ID}
+				apply(2, first, "")
+				apply(2, second, "")
+				apply(3, first, "done")
+				apply(3, second, "cancelled")
+				l.DrainReleased()
+			}
+		})
+	}
+}
--- a/internal/state/watchcache/watch.go
+++ b/internal/state/watchcache/watch.go
@@ -113,6 +113,7 @@
 	if err := records.CheckFormat(); err != nil {
 		return 0, err
 	}
+	records.DrainReleased() // whoever became ready before is no news
 	known, active := records.Counts()
 	c.log.Info("records loaded", "jobs", known, "active", active, "revision", from)
 	c.Lock()
