--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -7,11 +7,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -231,13 +233,24 @@
 	return l.writeAllSettings()
 }
 
+// Ports for the controllers. They lie below those that the system gives to outgoing connections, so that none is
+// taken while its controller restarts.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+	portTries = 100
+)
+
 // freeAddr returns a loopback address with a free port.
 func (l *Lab) freeAddr() (string, error) {
-	listener, err := new(net.ListenConfig).Listen(l.ctx, "tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		listener, err := new(net.ListenConfig).Listen(l.ctx, "tcp4", addr)
+		if err == nil {
+			return addr, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", errors.New("no free port was found")
 }
 
 // chooseAddresses chooses the addresses of the controllers.
