--- a/review/lab/clients.go
+++ b/review/lab/clients.go
@@ -18,7 +18,8 @@
 	pollTimeout   = 2 * time.Second
 	retryDelay    = time.Second
 	reportTimeout = 4 * time.Second
-	maxRecorded   = 20 // commands of one response that are recorded
+	redirectDelay = 300 * time.Millisecond // "at once or after up to half a second"
+	maxRecorded   = 20                     // commands of one response that are recorded
 )
 
 // Answer is the answer to a user's request; Code is 0 if there was none.
@@ -130,8 +131,12 @@
 			l.sleep(wait)
 			continue
 		}
-		at = l.nextNode(at, answer)
-		l.sleep(time.Second)
+		var redirected bool
+		if at, redirected = l.nextNode(at, answer); redirected {
+			l.sleep(redirectDelay)
+		} else {
+			l.sleep(retryDelay)
+		}
 	}
 }
 
@@ -148,17 +153,17 @@
 	}
 }
 
-// nextNode returns the controller to report to after an answer that was not accepted.
-func (l *Lab) nextNode(at int, answer Answer) int {
+// nextNode returns the controller to report to after an answer that was not accepted, and whether the answer named it.
+func (l *Lab) nextNode(at int, answer Answer) (next int, redirected bool) {
 	var redirect wire.Redirect
 	if answer.Code == http.StatusMisdirectedRequest && json.Unmarshal(answer.Body, &redirect) == nil {
 		for i := range Controllers {
 			if i != at && member(i) == string(redirect.ReportTo) {
-				return i
+				return i, true
 			}
 		}
 	}
-	return (at + 1) % Controllers
+	return (at + 1) % Controllers, false
 }
 
 // sleep waits for d or for the end of the run.
