--- a/cmd/maddermill/cwl.go
+++ b/cmd/maddermill/cwl.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/workflow/cwl"
 	"maddermill/wire"
 )
@@ -108,13 +109,13 @@
 	}
 	if response.Status/100 != 2 {
 		var problem wire.ErrorBody
-		if json.Unmarshal(response.Body, &problem) == nil && problem.Error != "" {
+		if exactjson.Unmarshal(response.Body, &problem) == nil && problem.Error != "" {
 			return nil, fmt.Errorf("status %d: %s", response.Status, problem.Error)
 		}
 		return nil, fmt.Errorf("status %d: %s", response.Status, response.Body)
 	}
 	status := new(wire.WorkflowStatus)
-	return status, json.Unmarshal(response.Body, status)
+	return status, exactjson.Unmarshal(response.Body, status)
 }
 
 // submitFlags are the flags of "cwl submit".
--- a/cmd/maddermill/plugintest.go
+++ b/cmd/maddermill/plugintest.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/plugin"
 	"maddermill/policy"
 )
@@ -44,7 +44,7 @@
 // decodeRecordedPass decodes a line of a recorded queue.
 func decodeRecordedPass(line []byte) (*policy.Pass, error) {
 	var r recordedPass
-	if err := json.Unmarshal(line, &r); err != nil {
+	if err := exactjson.Unmarshal(line, &r); err != nil {
 		return nil, err
 	}
 	return policy.Decode(r.Pass)
--- a/cmd/maddermill/promises.go
+++ b/cmd/maddermill/promises.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/scheduler/deadlinetracker"
 	"maddermill/internal/settings"
 	"maddermill/internal/state/kvstore"
@@ -79,7 +79,7 @@
 	for _, prefix := range []string{ledger.GalleryPrefix, ledger.FinalGalleryKey("")} {
 		err := kvstore.Each(ctx, store, prefix, listPageItems, func(item wire.Item) error {
 			var gallery ledger.GalleryRecord
-			if err := json.Unmarshal(item.Value, &gallery); err != nil || len(gallery.Promises) == 0 {
+			if err := exactjson.Unmarshal(item.Value, &gallery); err != nil || len(gallery.Promises) == 0 {
 				return errors.Join(fmt.Errorf("%s: invalid gallery record", item.Key), err)
 			}
 			count++
--- a/cmd/maddermill/quarantine.go
+++ b/cmd/maddermill/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/scheduler/quarantine"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
@@ -69,7 +69,7 @@
 	if body, err = getView(ctx, *c.config, c.server, "/api/judgements"); err != nil {
 		return nil, nil, err
 	}
-	return list, body, json.Unmarshal(body, &list)
+	return list, body, exactjson.Unmarshal(body, &list)
 }
 
 // list prints all judgements, as a table or as the controller sent them.
--- a/cmd/regress/main.go
+++ b/cmd/regress/main.go
@@ -19,6 +19,7 @@
 
 	"github.com/spf13/cobra"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/testing/regress"
 )
 
@@ -210,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	err = json.Unmarshal(b, &record)
+	err = exactjson.Unmarshal(b, &record)
 	return record, err
 }
 
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/testing/emulator"
 	"maddermill/wire"
 )
@@ -53,7 +54,7 @@
 	}
 	defer func() { _ = httpResp.Body.Close() }() // only read from
 	var response wire.HeartbeatResponse
-	if err := json.NewDecoder(httpResp.Body).Decode(&response); err != nil || httpResp.StatusCode != http.StatusOK {
+	if err := exactjson.Decode(httpResp.Body, &response); err != nil || httpResp.StatusCode != http.StatusOK {
 		return nil
 	}
 	return &response
--- a/internal/controller/archive_test.go
+++ b/internal/controller/archive_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -13,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/watchcache"
 
 	"maddermill/internal/server"
@@ -195,7 +195,7 @@
 	cluster.t.Helper()
 	item, err := cluster.links[0].Get(ctx, ledger.FormatKey)
 	if err == nil {
-		err = json.Unmarshal(item.Value, &f)
+		err = exactjson.Unmarshal(item.Value, &f)
 	}
 	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		cluster.t.Error(err)
--- a/internal/controller/rules_test.go
+++ b/internal/controller/rules_test.go
@@ -1,10 +1,10 @@
 package controller
 
 import (
-	"encoding/json"
 	"strings"
 	"sync"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
@@ -137,7 +137,7 @@
 			cluster.t.Fatal(err)
 		}
 		if len(items.Items) > 0 {
-			if err := json.Unmarshal(items.Items[0].Value, page); err != nil {
+			if err := exactjson.Unmarshal(items.Items[0].Value, page); err != nil {
 				cluster.t.Fatal(err)
 			}
 		}
--- a/internal/controller/workflow_cases_test.go
+++ b/internal/controller/workflow_cases_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"testing"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/testing/emulator"
 	"maddermill/internal/workflow"
@@ -135,7 +136,7 @@
 		var result workflow.Result
 		encoded, _, err := store.Get(t.Context(), workflow.ResultName(id))
 		if err == nil {
-			err = json.Unmarshal(encoded, &result)
+			err = exactjson.Unmarshal(encoded, &result)
 		}
 		if err != nil {
 			t.Fatal(err)
--- a/internal/controller/workflow_test.go
+++ b/internal/controller/workflow_test.go
@@ -14,6 +14,7 @@
 
 	"go.yaml.in/yaml/v4"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/testing/emulator"
 	"maddermill/internal/wait"
@@ -195,7 +196,7 @@
 		ledger.WorkflowFailed: wire.Failed,
 	}[want]
 	var outputs map[string]any
-	err := json.Unmarshal(got.Outputs, &outputs)
+	err := exactjson.Unmarshal(got.Outputs, &outputs)
 	wantOutputs := interpretSequentially(cluster.t, document, inputs)
 	if got.Status != wantStatus || err != nil || !reflect.DeepEqual(outputs, wantOutputs) {
 		cluster.t.Errorf(
--- a/internal/leader/cloud/cloud.go
+++ b/internal/leader/cloud/cloud.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/time/rate"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/transport/http1"
 	"maddermill/wire"
 )
@@ -89,7 +90,7 @@
 	if result == nil {
 		return nil
 	}
-	if err := json.Unmarshal(response.Body, result); err != nil {
+	if err := exactjson.Unmarshal(response.Body, result); err != nil {
 		return errors.Join(ErrUnknown, err)
 	}
 	return nil
@@ -98,7 +99,7 @@
 // refusalError returns the error for a response that rejects a request: ErrNoCapacity or ErrRefused.
 func refusalError(body []byte) error {
 	var problem wire.ErrorBody
-	_ = json.Unmarshal(body, &problem) // a body that can't be decoded counts as ErrRefused
+	_ = exactjson.Unmarshal(body, &problem) // a body that can't be decoded counts as ErrRefused
 	if problem.Error == noCapacityMessage {
 		return ErrNoCapacity
 	}
--- a/internal/membership/peer/frame_test.go
+++ b/internal/membership/peer/frame_test.go
@@ -61,6 +61,26 @@
 	}
 }
 
+// TestFramesIgnoreTextKeys guards against fields that a frame names by texts instead of numbers being taken for known
+// ones.
+func TestFramesIgnoreTextKeys(t *testing.T) {
+	var fields map[any]any
+	if err := cbor.Unmarshal(frame(t, example)[frameHeaderBytes:], &fields); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"1", "2", "Version", "version", "v", "V", "MEMBER", "Member", "by", "Machines", "m"} {
+		fields[key] = "m-2"
+	}
+	body, err := cbor.Marshal(fields)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := read(append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...))
+	if err != nil || !reflect.DeepEqual(*got, example) {
+		t.Errorf("read %+v, error %v; want %+v", got, err, example)
+	}
+}
+
 // TestFramesRefused checks that frames that are too long or of an unsupported version are rejected.
 func TestFramesRefused(t *testing.T) {
 	newer, earlier := example, example
--- a/internal/membership/publish.go
+++ b/internal/membership/publish.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/membership/peer"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
@@ -109,7 +110,7 @@
 // one of the same run, or the mesh delivered a recent one.
 func (m *Membership) mergePublished(id wire.MemberID, value []byte, now time.Time) {
 	var s peer.Status
-	if json.Unmarshal(value, &s) != nil || s.Version != peer.Version {
+	if exactjson.Unmarshal(value, &s) != nil || s.Version != peer.Version {
 		return // written by another version
 	}
 	// Use it for machine states only: the peer may have acknowledged cancellations since it was written.
--- a/internal/membership/publish_test.go
+++ b/internal/membership/publish_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"reflect"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/membership/peer"
 	"maddermill/internal/metrics"
 	"maddermill/internal/state/ledger"
+	"maddermill/internal/testing/unknownfield"
 	"maddermill/wire"
 )
 
@@ -78,6 +81,30 @@
 	})
 }
 
+// TestPublishedIgnoresNamesInOtherCase guards against an unknown field of a status that a peer published replacing a
+// known one.
+func TestPublishedIgnoresNamesInOtherCase(t *testing.T) {
+	status := peer.Status{
+		Version:  peer.Version,
+		Member:   "m-1",
+		Boot:     5,
+		Revision: 7,
+		Machines: []peer.Machine{{ID: "host-1", Type: "g", Zone: "a", Spot: true, Epoch: 2, Token: 9, Usable: true}},
+		Classes:  []peer.ClassRunTimes{{Class: "c", ActualSeconds: 10, EstimatedSeconds: 20, Count: 2}},
+	}
+	value, err := json.Marshal(status)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for kind, value := range unknownfield.Variants(string(value)) {
+		m := newMembership(t)
+		m.mergePublished("m-1", []byte(value), time.Now())
+		if p := m.Peer("m-1"); p == nil || !reflect.DeepEqual(p.Status, status) {
+			t.Errorf("%s: merged %+v, want the status %+v", kind, p, status)
+		}
+	}
+}
+
 // TestEncodeStatus checks that a status too large for a stored value is encoded without images, and then
 // without some machines.
 func TestEncodeStatus(t *testing.T) {
@@ -109,7 +136,7 @@
 				t.Errorf("%d bytes, want at most %d", len(value), tc.maxBytes)
 			}
 			var got peer.Status
-			if err := json.Unmarshal(value, &got); err != nil {
+			if err := exactjson.Unmarshal(value, &got); err != nil {
 				t.Fatal(err)
 			}
 			if whole := len(got.Machines) == machines; whole != tc.whole || len(got.Machines) == 0 {
--- a/internal/plugin/catalog.go
+++ b/internal/plugin/catalog.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
@@ -45,7 +46,7 @@
 	prefix := ledger.ModuleKey("")
 	err = kvstore.Each(ctx, c.Records, prefix, 100, func(it wire.Item) error {
 		m := ModuleEntry{Hash: wire.ModuleHash(strings.TrimPrefix(it.Key, prefix))}
-		if err := json.Unmarshal(it.Value, &m.ModuleRecord); err != nil {
+		if err := exactjson.Unmarshal(it.Value, &m.ModuleRecord); err != nil {
 			return fmt.Errorf("%s: %w", it.Key, err)
 		}
 		out = append(out, m)
@@ -118,7 +119,7 @@
 		return r, 0, nil
 	}
 	if err == nil {
-		err = json.Unmarshal(it.Value, &r)
+		err = exactjson.Unmarshal(it.Value, &r)
 	}
 	return r, it.Version, err
 }
@@ -227,7 +228,7 @@
 		return err
 	}
 	var m ledger.ModuleRecord
-	if err := json.Unmarshal(it.Value, &m); err != nil {
+	if err := exactjson.Unmarshal(it.Value, &m); err != nil {
 		return err
 	}
 	if _, err := c.Records.Commit(
--- a/internal/plugin/policymanager/load.go
+++ b/internal/plugin/policymanager/load.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/plugin"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
@@ -76,7 +76,7 @@
 			return nil, err
 		}
 		var b []byte
-		if err := json.Unmarshal(it.Value, &b); err != nil {
+		if err := exactjson.Unmarshal(it.Value, &b); err != nil {
 			return nil, err
 		}
 		pieces = append(pieces, b)
--- a/internal/server/api/api_test.go
+++ b/internal/server/api/api_test.go
@@ -17,6 +17,7 @@
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/supervise"
+	"maddermill/internal/testing/unknownfield"
 	"maddermill/internal/transport"
 	"maddermill/internal/transport/http1"
 	"maddermill/internal/workflow/runner"
@@ -244,6 +245,32 @@
 	}
 }
 
+// TestRequestsIgnoreNamesInOtherCase guards against a submission with an unknown field "Id" being answered with the
+// state of the job that it names, and against reports with such fields being refused.
+func TestRequestsIgnoreNamesInOtherCase(t *testing.T) {
+	s := newTestServer(t)
+	const (
+		report = `{"millstone":"host-1","endpoint":"10.1.0.1:1","build":"g","yard":"a","loaners":true,"shift":1,"tally":2,
+		 "warrant":3,"recall_s":4.5,"pieces":[{"piece":"wk-000001/0","try":1,"status":"ended","cause":"done"}]}`
+		accepted = `{"id":"wk-000009","status":"queued"}`
+		answer   = `{"warrant":3,"orders":[]}`
+	)
+	check := func(path, body string, status int, want string) {
+		t.Helper()
+		resp, err := s.client.Do(t.Context(), &http1.Request{Method: "POST", Path: path, Body: []byte(body)})
+		if err != nil || resp.Status != status || string(resp.Body) != want {
+			t.Errorf("%s: got %v, error %v; want %d %s", body, resp, err, status, want)
+		}
+	}
+	check("/api/jobs", strings.TrimSuffix(submission("t"), "}")+`,"Id":"wk-000001"}`, 201, accepted)
+	for _, body := range unknownfield.Variants(submission("t")) {
+		check("/api/jobs", body, 201, accepted)
+	}
+	for _, body := range unknownfield.Variants(report) {
+		check("/v1/report", body, 200, answer)
+	}
+}
+
 // TestMessages checks the bodies of error responses, which users read, byte for byte.
 func TestMessages(t *testing.T) {
 	s := newTestServer(t)
--- a/internal/server/api/routes.go
+++ b/internal/server/api/routes.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/transport/http1"
 	"maddermill/wire"
 )
@@ -104,7 +104,8 @@
 // heartbeat handles a worker's heartbeat.
 func (s *Server) heartbeat(ctx context.Context, request *http1.Request) *http1.Response {
 	var heartbeat wire.Heartbeat
-	if err := json.Unmarshal(request.Body, &heartbeat); err != nil || heartbeat.Machine == "" || heartbeat.Epoch == 0 {
+	err := exactjson.Unmarshal(request.Body, &heartbeat)
+	if err != nil || heartbeat.Machine == "" || heartbeat.Epoch == 0 {
 		return errorResponse(400, errInvalidHeartbeat)
 	}
 	answer := s.Heartbeats.Heartbeat(ctx, &heartbeat)
--- a/internal/state/archive/filter_test.go
+++ b/internal/state/archive/filter_test.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"maddermill/internal/exactjson"
+	"maddermill/internal/testing/unknownfield"
 )
 
 // roundTrip encodes a value to its stored form and decodes it, and checks that it fits into maxBytes.
@@ -16,12 +19,27 @@
 		tb.Fatalf("got %d bytes, %v, want at most %d", len(b), err, maxBytes)
 	}
 	var decoded T
-	if err := json.Unmarshal(b, &decoded); err != nil {
+	if err := exactjson.Unmarshal(b, &decoded); err != nil {
 		tb.Fatal(err)
 	}
 	return decoded
 }
 
+// TestPageIgnoresNamesInOtherCase guards against an unknown field of a stored page replacing its range or its bitmap.
+func TestPageIgnoresNamesInOtherCase(t *testing.T) {
+	pages, _ := EmptyPage().With([]string{"wk-000001", "wk-000002"}, 1<<10)
+	stored, err := json.Marshal(pages[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for kind, text := range unknownfield.Variants(string(stored)) {
+		var page Page
+		if err := exactjson.Unmarshal([]byte(text), &page); err != nil || !page.MayContain("wk-000002") {
+			t.Errorf("%s: %s: error %v, or the page lost a job", kind, text, err)
+		}
+	}
+}
+
 // pageStore holds the pages of a filter by name, as the state service does.
 type pageStore map[string]*Page
 
--- a/internal/state/archive/page.go
+++ b/internal/state/archive/page.go
@@ -7,6 +7,8 @@
 
 	"github.com/RoaringBitmap/roaring/v2"
 	"github.com/cespare/xxhash/v2"
+
+	"maddermill/internal/exactjson"
 )
 
 // positionBits is the number of leading bits of a name's hash that form its position.
@@ -61,7 +63,7 @@
 // UnmarshalJSON decodes the result of MarshalJSON and rejects ranges that no filter has.
 func (p *Page) UnmarshalJSON(b []byte) error {
 	var r pageRecord
-	if err := json.Unmarshal(b, &r); err != nil {
+	if err := exactjson.Unmarshal(b, &r); err != nil {
 		return err
 	}
 	if !r.valid() {
--- a/internal/state/archive/terminated.go
+++ b/internal/state/archive/terminated.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/RoaringBitmap/roaring/v2"
+
+	"maddermill/internal/exactjson"
 )
 
 // MachineNumbers is an immutable set of numbers, stored as a serialized bitmap. The zero value is the
@@ -22,7 +24,7 @@
 // UnmarshalJSON decodes the result of MarshalJSON.
 func (s *MachineNumbers) UnmarshalJSON(b []byte) error {
 	var bitmap []byte
-	if err := json.Unmarshal(b, &bitmap); err != nil {
+	if err := exactjson.Unmarshal(b, &bitmap); err != nil {
 		return err
 	}
 	var err error
--- a/internal/state/archive/terminated_test.go
+++ b/internal/state/archive/terminated_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+
+	"maddermill/internal/exactjson"
 )
 
 // randomMachine returns a random machine name from one of several series.
@@ -78,16 +80,16 @@
 	f.Add([]byte(`{"n":1,"w":"OjAAAAAAAAA="}`))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		var page Page
-		if json.Unmarshal(in, &page) == nil && page.bitmap != nil {
+		if exactjson.Unmarshal(in, &page) == nil && page.bitmap != nil {
 			page.MayContain("wk-000001")
 			roundTrip(t, &page, 1<<30)
 		}
 		var h SeriesHead
-		if json.Unmarshal(in, &h) == nil {
+		if exactjson.Unmarshal(in, &h) == nil {
 			h.CompleteParts.Len()
 		}
 		var set MachineNumbers
-		if json.Unmarshal(in, &set) == nil {
+		if exactjson.Unmarshal(in, &set) == nil {
 			set.Len()
 		}
 	})
--- a/internal/state/archiver/filter.go
+++ b/internal/state/archiver/filter.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
@@ -84,7 +84,7 @@
 	}
 	if len(list.Items) > 0 {
 		version = list.Items[0].Version
-		if err := json.Unmarshal(list.Items[0].Value, page); err != nil {
+		if err := exactjson.Unmarshal(list.Items[0].Value, page); err != nil {
 			return err
 		}
 	}
--- a/internal/state/archiver/reader.go
+++ b/internal/state/archiver/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -10,6 +9,7 @@
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/metrics"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
@@ -90,7 +90,7 @@
 	if err != nil {
 		return record, err
 	}
-	if err := json.Unmarshal(item.Value, &record); err != nil {
+	if err := exactjson.Unmarshal(item.Value, &record); err != nil {
 		return record, err
 	}
 	r.finals.Add(id, record)
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	w := &ledger.Workflow{ID: id, Version: item.Version}
-	return w, json.Unmarshal(item.Value, &w.WorkflowRecord)
+	return w, exactjson.Unmarshal(item.Value, &w.WorkflowRecord)
 }
 
 // get reads a key of the archive.
--- a/internal/state/backup/earlier_test.go
+++ b/internal/state/backup/earlier_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/testing/emulator"
@@ -53,7 +53,7 @@
 		continued.records.Apply(ledger.Event{Key: item.Key, Value: item.Value, Version: item.Version})
 		if strings.HasPrefix(item.Key, ledger.FilterPrefix) {
 			page := archive.EmptyPage()
-			if err := json.Unmarshal(item.Value, page); err != nil {
+			if err := exactjson.Unmarshal(item.Value, page); err != nil {
 				t.Fatal(err)
 			}
 			continued.records.PutFilterPage(page, item.Version, continued.records.FilterAdditions())
--- a/internal/state/backup/import.go
+++ b/internal/state/backup/import.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
@@ -114,7 +115,7 @@
 // add adds a record to the batch, or keeps it if it is the format record.
 func (in *importer) add(key string, value []byte) error {
 	if key == ledger.FormatKey {
-		return json.Unmarshal(value, &in.format)
+		return exactjson.Unmarshal(value, &in.format)
 	}
 	if len(value) > in.valueBytes {
 		return fmt.Errorf("backup: value of %s has %d bytes, limit is %d", key, len(value), in.valueBytes)
@@ -238,7 +239,7 @@
 // canonicalJSON returns a JSON document with its keys sorted, and false if it is invalid.
 func canonicalJSON(document []byte) (string, bool) {
 	var v any
-	if json.Unmarshal(document, &v) != nil {
+	if exactjson.Unmarshal(document, &v) != nil {
 		return "", false
 	}
 	b, err := json.Marshal(v)
--- a/internal/state/backup/verify.go
+++ b/internal/state/backup/verify.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
@@ -99,7 +99,7 @@
 		v.visitArchivedJob(id, key, value)
 	case strings.HasPrefix(key, ledger.FilterPrefix):
 		page := new(archive.Page)
-		if err := json.Unmarshal(value, page); err != nil {
+		if err := exactjson.Unmarshal(value, page); err != nil {
 			v.add(ledger.Problem{Key: key, What: err.Error()})
 			return
 		}
--- a/internal/state/kvstore/client.go
+++ b/internal/state/kvstore/client.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/transport/http1"
 	"maddermill/wire"
 )
@@ -158,7 +159,7 @@
 		return result.Revision, err
 	}
 	var body wire.ErrorBody
-	_ = json.Unmarshal(resp.Body, &body) // a body in any other form is included in the error below
+	_ = exactjson.Unmarshal(resp.Body, &body) // a body in any other form is included in the error below
 	if body.Error == leaseNotFoundBody {
 		return 0, ErrLeaseNotFound
 	}
@@ -280,7 +281,7 @@
 // decode decodes the body of a response. A malformed body counts as no response: the error wraps ErrUnknown.
 func decode[T any](resp *http1.Response) (T, error) {
 	var v T
-	if err := json.Unmarshal(resp.Body, &v); err != nil {
+	if err := exactjson.Unmarshal(resp.Body, &v); err != nil {
 		return v, fmt.Errorf("%w: decode response: %w", ErrUnknown, err)
 	}
 	return v, nil
--- a/internal/state/kvstore/client_test.go
+++ b/internal/state/kvstore/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/testing/emulator"
+	"maddermill/internal/testing/unknownfield"
 	"maddermill/internal/transport"
 	"maddermill/internal/transport/http1"
 	"maddermill/wire"
@@ -217,3 +219,42 @@
 		})
 	}
 }
+
+// TestAnswersIgnoreNamesInOtherCase guards against an unknown field of the service's answers replacing a version, a
+// value or a revision.
+func TestAnswersIgnoreNamesInOtherCase(t *testing.T) {
+	answers := map[string]string{
+		"/store/a": `{"k":"a","data":1,"stamp":412,"tenure":7}`,
+		"/store":   `{"pairs":[{"k":"a","data":1,"stamp":412,"tenure":7}],"has_next":true,"epoch":431}`,
+		"/multi":   `{"epoch":432}`,
+		"/leases":  `{"tenure":7}`,
+		"/changes": `{"epoch":433,"log":[{"set":"a","data":1,"stamp":433},{"delete":"b","stamp":432}]}`,
+	}
+	for kind := range unknownfield.Renames {
+		c := newClient(t, serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = w.Write([]byte(unknownfield.Variants(answers[r.URL.Path])[kind])) // a lost answer fails the test
+		})))
+		item, err := c.Get(t.Context(), "a")
+		want := wire.Item{Key: "a", Value: []byte("1"), Version: 412, Lease: 7}
+		check(t, kind+": get", item, want, err)
+		page, err := c.List(t.Context(), "a", "", 1)
+		check(t, kind+": list", page, wire.ItemPage{Items: []wire.Item{want}, More: true, Revision: 431}, err)
+		revision, err := c.Commit(t.Context(), create("a"))
+		check(t, kind+": commit", revision, 432, err)
+		lease, err := c.GrantLease(t.Context(), time.Second)
+		check(t, kind+": lease", lease, 7, err)
+		events, err := c.Watch(t.Context(), "a", 431, time.Second)
+		check(t, kind+": watch", events, wire.Events{Revision: 433, Events: []wire.Event{
+			{Put: "a", Value: []byte("1"), Version: 433},
+			{Delete: "b", Version: 432},
+		}}, err)
+	}
+}
+
+// check checks a result and that there is no error.
+func check[T any](t *testing.T, name string, got, want T, err error) {
+	t.Helper()
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: got %+v, error %v; want %+v", name, got, err, want)
+	}
+}
--- a/internal/state/ledger/apply.go
+++ b/internal/state/ledger/apply.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/wire"
 )
@@ -65,7 +66,7 @@
 		return nil
 	}
 	var r machineRecord
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &r); err != nil {
 		return err
 	}
 	l.phases[m], l.phaseVersions[m] = r.Phase, e.Version
@@ -101,7 +102,7 @@
 		return nil
 	}
 	var f wire.MachineType
-	if err := json.Unmarshal(e.Value, &f); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &f); err != nil {
 		return err
 	}
 	l.machineTypes[f.Name] = f
@@ -116,7 +117,7 @@
 		return err
 	}
 	var head archive.SeriesHead
-	if err := json.Unmarshal(e.Value, &head); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &head); err != nil {
 		return err
 	}
 	index.terminated.SetHead(series, head)
@@ -134,7 +135,7 @@
 	}
 	var numbers archive.MachineNumbers
 	if e.Value != nil {
-		if err := json.Unmarshal(e.Value, &numbers); err != nil {
+		if err := exactjson.Unmarshal(e.Value, &numbers); err != nil {
 			return err
 		}
 	}
@@ -154,7 +155,7 @@
 		return nil
 	}
 	var r ModuleRecord
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &r); err != nil {
 		return err
 	}
 	l.modules[hash] = r
@@ -170,7 +171,7 @@
 			return nil
 		}
 		l.leaderVersion = e.Version
-		return json.Unmarshal(e.Value, &l.leader)
+		return exactjson.Unmarshal(e.Value, &l.leader)
 	case ImportKey:
 		l.archived.importing = e.Value != nil
 	case PolicyKey:
@@ -181,7 +182,7 @@
 	case ScaleOutKey:
 		if e.Value != nil && e.Version > l.scaleOutVersion {
 			l.scaleOut, l.scaleOutVersion = ScaleOutRecord{}, e.Version
-			return json.Unmarshal(e.Value, &l.scaleOut)
+			return exactjson.Unmarshal(e.Value, &l.scaleOut)
 		}
 	case FormatKey:
 		err := applyNewer(e, &l.archived.formatVersion, &l.archived.format)
@@ -202,7 +203,7 @@
 	}
 	*version = e.Version
 	*record = *new(T) // clears fields that the new value omits, as records of older software versions may
-	return json.Unmarshal(e.Value, record)
+	return exactjson.Unmarshal(e.Value, record)
 }
 
 // unmarshalIfPresent decodes a record; it does nothing if the record was deleted.
@@ -210,5 +211,5 @@
 	if value == nil {
 		return nil
 	}
-	return json.Unmarshal(value, record)
+	return exactjson.Unmarshal(value, record)
 }
--- a/internal/state/ledger/apply_job.go
+++ b/internal/state/ledger/apply_job.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"strconv"
 	"strings"
 
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -23,7 +23,7 @@
 		return nil
 	}
 	var r jobRecord
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &r); err != nil {
 		return err
 	}
 	if r.Spec == nil {
@@ -190,7 +190,7 @@
 		return nil
 	}
 	var r taskRangeRecord
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &r); err != nil {
 		return err
 	}
 	l.replaceStoredRange(j, n, e.Version, &r)
--- a/internal/state/ledger/archive_test.go
+++ b/internal/state/ledger/archive_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/testing/emulator"
@@ -165,7 +166,7 @@
 			continue
 		}
 		var p archive.Page
-		if err := json.Unmarshal(it.Value, &p); err != nil {
+		if err := exactjson.Unmarshal(it.Value, &p); err != nil {
 			t.Fatal(err)
 		}
 		count++
--- a/internal/state/ledger/claim.go
+++ b/internal/state/ledger/claim.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -62,7 +63,7 @@
 // the current encoding it is a string.
 func (claims *claimList) UnmarshalJSON(b []byte) error {
 	var starts [][]json.RawMessage
-	if err := json.Unmarshal(b, &starts); err != nil {
+	if err := exactjson.Unmarshal(b, &starts); err != nil {
 		return err
 	}
 	*claims = nil
@@ -76,12 +77,12 @@
 			names, pairs = s[2:], s[:2]
 		}
 		for i, f := range []any{&c.Attempt, &c.Machine, &c.Zone, &c.Epoch, &c.Token} {
-			if err := json.Unmarshal(names[i], f); err != nil {
+			if err := exactjson.Unmarshal(names[i], f); err != nil {
 				return err
 			}
 		}
 		for ; len(pairs) > 0; pairs = pairs[2:] {
-			if err := errors.Join(json.Unmarshal(pairs[0], &c.First), json.Unmarshal(pairs[1], &c.Count)); err != nil {
+			if err := errors.Join(exactjson.Unmarshal(pairs[0], &c.First), exactjson.Unmarshal(pairs[1], &c.Count)); err != nil {
 				return err
 			}
 			*claims = append(*claims, c)
--- a/internal/state/ledger/dependencies_test.go
+++ b/internal/state/ledger/dependencies_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"testing"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/ledger"
 	"maddermill/wire"
 )
@@ -347,7 +348,7 @@
 		var record struct {
 			Spec map[string]any `json:"spec"`
 		}
-		if err := json.Unmarshal(item.Value, &record); err != nil || record.Spec == nil {
+		if err := exactjson.Unmarshal(item.Value, &record); err != nil || record.Spec == nil {
 			continue
 		}
 		_, has := record.Spec["awaits"]
--- a/internal/state/ledger/division.go
+++ b/internal/state/ledger/division.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -180,7 +181,7 @@
 	}
 	if e.Value != nil {
 		r := &TaskRange{Version: e.Version, hasPart: true}
-		if err := json.Unmarshal(e.Value, &r.taskRangeRecord); err != nil {
+		if err := exactjson.Unmarshal(e.Value, &r.taskRangeRecord); err != nil {
 			return err
 		}
 		l.replaceRange(j, n, r)
--- a/internal/state/ledger/gallery_index.go
+++ b/internal/state/ledger/gallery_index.go
@@ -1,9 +1,9 @@
 package ledger
 
 import (
-	"encoding/json"
 	"errors"
 
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -58,7 +58,7 @@
 		return nil
 	}
 	var r GalleryRecord
-	if err := json.Unmarshal(e.Value, &r); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &r); err != nil {
 		return err
 	}
 	if len(r.Promises) == 0 {
--- a/internal/state/ledger/helpers_test.go
+++ b/internal/state/ledger/helpers_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
@@ -52,7 +52,7 @@
 	for _, it := range store.Items() {
 		if strings.HasPrefix(it.Key, ledger.FilterPrefix) && it.Key > ledger.FilterKey(archive.Position(string(id))) {
 			p := new(archive.Page)
-			if err := json.Unmarshal(it.Value, p); err != nil {
+			if err := exactjson.Unmarshal(it.Value, p); err != nil {
 				panic(err)
 			}
 			return p, it.Version
--- a/internal/state/ledger/history_test.go
+++ b/internal/state/ledger/history_test.go
@@ -1,13 +1,13 @@
 package ledger_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/testing/emulator"
@@ -136,7 +136,7 @@
 	}
 	if id, ok := strings.CutPrefix(c.Put, ledger.FinalKey("")); ok {
 		var r ledger.FinalRecord
-		if err := json.Unmarshal(c.Value, &r); err != nil {
+		if err := exactjson.Unmarshal(c.Value, &r); err != nil {
 			h.violations = append(h.violations, err.Error())
 		}
 		h.finals[wire.JobID(id)], h.archivedAt[wire.JobID(id)] = r, revision
--- a/internal/state/ledger/machines.go
+++ b/internal/state/ledger/machines.go
@@ -1,9 +1,9 @@
 package ledger
 
 import (
-	"encoding/json"
 	"strings"
 
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -27,7 +27,7 @@
 func DecodeMachinePhase(item wire.Item) (m wire.MachineID, phase MachinePhase, reason string, ok bool) {
 	name, ok := strings.CutPrefix(item.Key, machinePrefix)
 	var r machineRecord
-	if !ok || json.Unmarshal(item.Value, &r) != nil {
+	if !ok || exactjson.Unmarshal(item.Value, &r) != nil {
 		return "", "", "", false
 	}
 	return wire.MachineID(name), r.Phase, r.Reason, true
--- a/internal/state/ledger/verify.go
+++ b/internal/state/ledger/verify.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/archive"
 	"maddermill/wire"
 )
@@ -15,7 +16,7 @@
 // CheckArchived returns an error if the record of an archived job is invalid by itself.
 func CheckArchived(id wire.JobID, value json.RawMessage) error {
 	var r FinalRecord
-	switch err := json.Unmarshal(value, &r); {
+	switch err := exactjson.Unmarshal(value, &r); {
 	case err != nil:
 		return err
 	case !id.Valid():
@@ -91,7 +92,7 @@
 func (v *verifier) checkFinished() {
 	for id, finished := range v.ledger.archived.finished {
 		var r jobRecord
-		if finished.cancelled || json.Unmarshal(v.records[jobKey(id)].Value, &r) != nil {
+		if finished.cancelled || exactjson.Unmarshal(v.records[jobKey(id)].Value, &r) != nil {
 			continue
 		}
 		if int(finished.done) != r.Spec.Tasks {
--- a/internal/state/ledger/workflow.go
+++ b/internal/state/ledger/workflow.go
@@ -1,8 +1,7 @@
 package ledger
 
 import (
-	"encoding/json"
-
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -60,7 +59,7 @@
 		return nil
 	}
 	w := &Workflow{ID: id, Version: e.Version}
-	if err := json.Unmarshal(e.Value, &w.WorkflowRecord); err != nil {
+	if err := exactjson.Unmarshal(e.Value, &w.WorkflowRecord); err != nil {
 		return err
 	}
 	if w.State == WorkflowCancelled {
--- a/internal/testing/emulator/http.go
+++ b/internal/testing/emulator/http.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/leader/cloud"
 	"maddermill/internal/state/kvstore"
 	"maddermill/wire"
@@ -106,7 +107,7 @@
 
 // decode parses the JSON body of a request. If it can't, it responds with status 400 and returns false.
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into)
+	err := exactjson.Decode(http.MaxBytesReader(w, r.Body, maxBodyBytes), into)
 	if err != nil {
 		respond(w, nil, kvstore.ErrInvalid)
 	}
@@ -152,5 +153,5 @@
 	var r struct {
 		Spec *wire.JobSpec `json:"spec"`
 	}
-	return r.Spec, json.Unmarshal(c.Value, &r) == nil && r.Spec != nil
+	return r.Spec, exactjson.Unmarshal(c.Value, &r) == nil && r.Spec != nil
 }
--- a/internal/testing/emulator/link.go
+++ b/internal/testing/emulator/link.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/kvstore"
 	"maddermill/wire"
 )
@@ -220,7 +221,7 @@
 	b, _ := json.Marshal(t) // a wire.Txn always marshals
 	time.AfterFunc(after, func() {
 		var late wire.Txn
-		if json.Unmarshal(b, &late) == nil {
+		if exactjson.Unmarshal(b, &late) == nil {
 			_, _ = l.Store.Apply(late)
 		}
 	})
--- a/internal/testing/emulator/steps.go
+++ b/internal/testing/emulator/steps.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/workflow"
 	"maddermill/internal/workflow/cwl"
 	"maddermill/internal/workflow/stepdata"
@@ -27,7 +28,7 @@
 		return nil
 	}
 	var order workflow.StepSpec
-	if err := json.Unmarshal(b, &order); err != nil {
+	if err := exactjson.Unmarshal(b, &order); err != nil {
 		return err
 	}
 	outputs, err := runTool(ctx, store, job, &order)
--- a/internal/testing/regress/regress.go
+++ b/internal/testing/regress/regress.go
@@ -16,6 +16,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"maddermill/internal/exactjson"
 )
 
 // Noise is the difference up to which a score varies between two runs of the same version.
@@ -52,11 +54,51 @@
 	Figure       *float64        `json:"score"`
 	Rules        map[string]any  `json:"rules"`
 	Fault        json.RawMessage `json:"fault"`
-	Aims         [][2]any        `json:"aims"`
-	ServedShares [][3]any        `json:"served"` // name, its share of all work, the served fraction of that
+	Aims         []journalAim    `json:"aims"`
+	ServedShares []servedShare   `json:"served"`
 	Idle         idleCapacity    `json:"idle"`
 }
 
+// journalAim is an aim of a day: its description, which begins with the aim's name and a colon, and its worth. The
+// journal has it as an array of the two.
+type journalAim struct {
+	text  string
+	worth float64
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *journalAim) UnmarshalJSON(b []byte) error { return unmarshalElements(b, &a.text, &a.worth) }
+
+// servedShare is how much of the work of a class, a team or a class's largest jobs was served. The journal has it
+// as an array of the three fields.
+type servedShare struct {
+	name   string
+	weight float64  // share of all work
+	served *float64 // fraction that was served; nil: unknown
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *servedShare) UnmarshalJSON(b []byte) error {
+	return unmarshalElements(b, &s.name, &s.weight, &s.served)
+}
+
+// unmarshalElements decodes the elements of an array into variables. Elements without a variable are ignored.
+func unmarshalElements(b []byte, variables ...any) error {
+	var elements []json.RawMessage
+	if err := exactjson.Unmarshal(b, &elements); err != nil {
+		return err
+	}
+	if len(elements) < len(variables) {
+		return fmt.Errorf("regress: an array has %d elements, want %d: %s", len(elements), len(variables), b)
+	}
+	for i, variable := range variables {
+		if err := exactjson.Unmarshal(elements[i], variable); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // idleCapacity is the bench's report on capacity that was free while jobs waited.
 type idleCapacity struct {
 	Neglected int `json:"neglected"` // jobs that waited for 90 s despite free capacity, after all faults had ended
@@ -84,8 +126,8 @@
 		out = append(out, "the day has no score")
 	}
 	for _, s := range d.ServedShares {
-		if share, ok := s[2].(float64); ok && share < minServed {
-			out = append(out, fmt.Sprintf("%v: only %.2f served", s[0], share))
+		if s.served != nil && *s.served < minServed {
+			out = append(out, fmt.Sprintf("%s: only %.2f served", s.name, *s.served))
 		}
 	}
 	return append(out, d.Idle.failures()...)
@@ -95,7 +137,7 @@
 // days.
 func Parse(b []byte) ([]Played, error) {
 	var e journalEntry
-	if err := json.Unmarshal(b, &e); err != nil {
+	if err := exactjson.Unmarshal(b, &e); err != nil {
 		return nil, err
 	}
 	if e.Site == "" || len(e.Days) == 0 {
@@ -109,10 +151,8 @@
 			p.Figure = *d.Figure
 		}
 		for _, a := range d.Aims {
-			text, _ := a[0].(string)
-			worth, _ := a[1].(float64)
-			if i := strings.LastIndex(text, ":"); i > 0 {
-				p.Aims[text[:i]] = worth
+			if i := strings.LastIndex(a.text, ":"); i > 0 {
+				p.Aims[a.text[:i]] = a.worth
 			}
 		}
 		out = append(out, p)
--- a/internal/testing/regress/report.go
+++ b/internal/testing/regress/report.go
@@ -1,12 +1,13 @@
 package regress
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
+
+	"maddermill/internal/exactjson"
 )
 
 // Report is the bench's report of one simulated day.
@@ -43,7 +44,7 @@
 
 // ParseReport decodes a report of the bench. It fails if the report has no classes.
 func ParseReport(b []byte) (r Report, err error) {
-	if err := json.Unmarshal(b, &r); err != nil {
+	if err := exactjson.Unmarshal(b, &r); err != nil {
 		return r, err
 	}
 	if len(r.Classes) == 0 {
--- a/internal/testing/upgrade/upgrade_test.go
+++ b/internal/testing/upgrade/upgrade_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/testing/emulator"
 	"maddermill/wire"
@@ -256,7 +257,7 @@
 	}
 	defer func() { _ = response.Body.Close() }() // only read from
 	text, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode < 300 && json.Unmarshal(text, answer) != nil {
+	if err != nil || response.StatusCode < 300 && exactjson.Unmarshal(text, answer) != nil {
 		return 0
 	}
 	return response.StatusCode
--- a/internal/workflow/cwl/expr.go
+++ b/internal/workflow/cwl/expr.go
@@ -1,6 +1,7 @@
 package cwl
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -515,7 +516,7 @@
 
 // fromJSON decodes a JSON value, with integers as int64.
 func fromJSON(b []byte) (any, error) {
-	d := json.NewDecoder(strings.NewReader(string(b)))
+	d := json.NewDecoder(bytes.NewReader(b)) //nolint:forbidigo // values have no fields, and need exact numbers
 	d.UseNumber()
 	var v any
 	if err := d.Decode(&v); err != nil {
--- a/internal/workflow/runner/documents.go
+++ b/internal/workflow/runner/documents.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/server"
 	"maddermill/internal/state/kvstore"
 	"maddermill/internal/state/ledger"
@@ -84,7 +85,7 @@
 			return nil, err
 		}
 		var text string
-		if err := json.Unmarshal(item.Value, &text); err != nil {
+		if err := exactjson.Unmarshal(item.Value, &text); err != nil {
 			return nil, err
 		}
 		chunk, err := base64.StdEncoding.DecodeString(text)
@@ -105,5 +106,5 @@
 		return nil, err
 	}
 	docs := new(workflow.Documents)
-	return docs, json.Unmarshal(encoded, docs)
+	return docs, exactjson.Unmarshal(encoded, docs)
 }
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"maddermill/internal/exactjson"
 	"maddermill/internal/state/ledger"
 	"maddermill/internal/workflow/cwl"
 	"maddermill/internal/workflow/stepdata"
@@ -475,7 +476,7 @@
 
 // decodeResult decodes a result, with whole numbers in its outputs as integers.
 func decodeResult(encoded []byte, result *Result) error {
-	if err := json.Unmarshal(encoded, result); err != nil {
+	if err := exactjson.Unmarshal(encoded, result); err != nil {
 		return fmt.Errorf("%w: %w", stepdata.ErrCorrupt, err)
 	}
 	result.Outputs, _ = cwl.NormalizeNumbers(result.Outputs).(map[string]any)
--- a/internal/workflow/workflow_test.go
+++ b/internal/workflow/workflow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"time"
 
 	"maddermill/internal/state/ledger"
+	"maddermill/internal/testing/unknownfield"
 	"maddermill/internal/workflow/stepdata"
 	"maddermill/wire"
 )
@@ -199,6 +201,19 @@
 	return Done
 }
 
+// TestResultIgnoresNamesInOtherCase guards against an unknown field of a step's result replacing its exit code or its
+// outputs, whose names belong to the tool.
+func TestResultIgnoresNamesInOtherCase(t *testing.T) {
+	for kind, text := range unknownfield.Variants(`{"code":3,"error":"x","retry":true,"outputs":{"Code":1,"CODE":2.5}}`) {
+		var got Result
+		err := decodeResult([]byte(text), &got)
+		want := Result{Code: 3, Error: "x", Retry: true, Outputs: map[string]any{"Code": int64(1), "CODE": 2.5}}
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v, error %v; want %+v", kind, got, err, want)
+		}
+	}
+}
+
 // TestCancelAfterATakeover guards against Cancel reporting that no job is active while a new driver is still
 // replaying the workflow. Taking over a large workflow needs several passes. When Cancel reported this too early, the
 // jobs of the steps that had not been reached yet stayed active.
--- a/wire/heartbeats_test.go
+++ b/wire/heartbeats_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"testing"
 
+	"maddermill/internal/exactjson"
 	"maddermill/wire"
 )
 
@@ -18,7 +19,7 @@
 	f.Add([]byte(`{"pieces":[{"piece":"wk-000412/-1"}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var heartbeat, decoded wire.Heartbeat
-		if json.Unmarshal(b, &heartbeat) != nil {
+		if exactjson.Unmarshal(b, &heartbeat) != nil {
 			return
 		}
 		for _, task := range heartbeat.Tasks {
@@ -35,7 +36,7 @@
 				return // a missing task ID can't be encoded
 			}
 		}
-		if err := json.Unmarshal(out, &decoded); err != nil || !reflect.DeepEqual(heartbeat, decoded) {
+		if err := exactjson.Unmarshal(out, &decoded); err != nil || !reflect.DeepEqual(heartbeat, decoded) {
 			t.Fatalf("%+v became %+v: %v", heartbeat, decoded, err)
 		}
 	})
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -5,8 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
+
+	"maddermill/internal/exactjson"
 )
 
 // Shape is the kind of a job: how its tasks are started and ended together, or not.
@@ -84,10 +85,11 @@
 	"expect_s", "snapshot_s", "stash_s"}
 
 // DecodeJobSpec parses a submission and validates it, except for what depends on the configured teams and
-// machine types. Unknown keys are ignored. The error names the first invalid field and is shown to users.
+// machine types. Unknown keys are ignored, including those that differ from a known one in case alone. The error
+// names the first invalid field and is shown to users.
 func DecodeJobSpec(body []byte) (JobSpec, error) {
 	var fields map[string]json.RawMessage
-	if err := decodeOne(body, &fields); err != nil || fields == nil {
+	if err := exactjson.Unmarshal(body, &fields); err != nil || fields == nil {
 		return JobSpec{}, errors.New("body is not a JSON object")
 	}
 	for _, name := range requiredJobFields {
@@ -97,7 +99,7 @@
 		}
 	}
 	var s JobSpec
-	if err := json.Unmarshal(body, &s); err != nil {
+	if err := exactjson.Unmarshal(body, &s); err != nil {
 		var t *json.UnmarshalTypeError
 		if errors.As(err, &t) {
 			return JobSpec{}, fmt.Errorf("field %q has the wrong type", t.Field)
@@ -181,18 +183,6 @@
 // validAmount reports whether an amount is a number from 0 to maxAmount.
 func validAmount(amount float64) bool { return amount >= 0 && amount <= maxAmount }
 
-// decodeOne decodes a single JSON value, which only white space may follow.
-func decodeOne(body []byte, into any) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	if err := d.Decode(into); err != nil {
-		return err
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("trailing data")
-	}
-	return nil
-}
-
 // Status is the state of a job or workflow that users see.
 type Status string
 
--- a/wire/topology.go
+++ b/wire/topology.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+
+	"maddermill/internal/exactjson"
 )
 
 // TopologyView is a controller's view of the declared topology: GET /api/topology. It is serialized as JSON
@@ -77,7 +79,7 @@
 	var v TopologyView
 	for i, line := range bytes.Split(bytes.TrimSpace(b), []byte("\n")) {
 		var l topologyLine
-		if err := json.Unmarshal(line, &l); err != nil {
+		if err := exactjson.Unmarshal(line, &l); err != nil {
 			return v, fmt.Errorf("wire: decode topology: line %d: %w", i+1, err)
 		}
 		switch {
--- a/wire/workflows.go
+++ b/wire/workflows.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"strings"
+
+	"maddermill/internal/exactjson"
 )
 
 // WorkflowID identifies a workflow. Users choose it; its form is "wf-" followed by 6 to 18 digits.
@@ -38,7 +40,7 @@
 // invalid field and is shown to users.
 func DecodeWorkflowSpec(b []byte) (*WorkflowSpec, error) {
 	s := &WorkflowSpec{Priority: Normal}
-	if err := json.Unmarshal(b, s); err != nil {
+	if err := exactjson.Unmarshal(b, s); err != nil {
 		return nil, fmt.Errorf("not a workflow: %w", err)
 	}
 	switch {
