Settings: an unknown key that differs in case no longer replaces a known one

What operators saw: a key of the platform's file that differs from a known one in case alone, such as Count beside count, replaced its value if it came later, and ended the start of each controller if it had another type ("line 15: field Count: toml: cannot decode TOML string ..."), though DEPLOY has unknown fields ignored.

Keys of TOML are case-sensitive.

Change: the file is decoded into a table first. Keys in it that equal no field's name but differ from one in case alone are removed, also in tables and arrays of tables; only then is the rest decoded. Files without such keys are decoded from their own text, so that errors name the same lines as before.

Evidence: TestParseIgnoresNamesInOtherCase fails on the sources before in each of its four forms, e.g. "first upper case: got <nil>, error toml: cannot decode TOML array into struct field settings.Settings.Member". With the built programs `check` of a file with Count = "many" beside count = 2: status 1 before, valid now. The operators' settings (protobuf text) were exact before: a case of TestOperators shows it.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,14 +7,10 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"maddermill/wire"
 )
 
@@ -125,15 +121,11 @@
 }
 
 // Parse parses and validates the platform's file, and sets the operators' settings to their defaults.
-// Unknown fields are ignored, because the platform may add fields.
+// Unknown fields are ignored, because the platform may add fields; so are those that differ from a known one in
+// case alone.
 func Parse(platform []byte) (*Settings, error) {
 	s := new(Settings)
-	if err := toml.Unmarshal(platform, s); err != nil {
-		var decodeErr *toml.DecodeError
-		if errors.As(err, &decodeErr) {
-			row, _ := decodeErr.Position()
-			return nil, fmt.Errorf("line %d: field %s: %w", row, fieldOnLine(platform, row), decodeErr)
-		}
+	if err := s.decode(platform); err != nil {
 		return nil, err
 	}
 	if err := s.check(); err != nil {
@@ -144,17 +136,6 @@
 	return s, err
 }
 
-// fieldOnLine returns the name of the field that is set on a line. The decoder's errors lack the name if a
-// value has the wrong type.
-func fieldOnLine(file []byte, row int) string {
-	lines := strings.Split(string(file), "\n")
-	if row < 1 || row > len(lines) {
-		return ""
-	}
-	name, _, _ := strings.Cut(lines[row-1], "=")
-	return strings.TrimSpace(name)
-}
-
 // FindTeam returns the team with a name, or nil if there is none.
 func (s *Settings) FindTeam(name wire.Team) *Team {
 	for i := range s.Cluster.Teams {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,9 +3,13 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
+
+	"maddermill/internal/testing/unknownfield"
 )
 
 // platform is a valid platform file.
@@ -81,6 +85,34 @@
 	}
 }
 
+// TestParseIgnoresNamesInOtherCase guards against a field that the platform may add replacing one that differs from it
+// in case alone.
+func TestParseIgnoresNamesInOtherCase(t *testing.T) {
+	file := platform + "[settings.state.next]\nvalue_kb = 4.0\ntxn_ops = 9\n"
+	want, err := Parse([]byte(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := regexp.MustCompile(`(?m)^([a-z_]+) =`)
+	for kind, rename := range unknownfield.Renames {
+		text := key.ReplaceAllStringFunc(file, func(field string) string {
+			known := strings.TrimSuffix(field, " =")
+			if rename(known) == known {
+				return field
+			}
+			return `"` + rename(known) + "\" = [{}]\n" + field
+		})
+		text += "[Outside]\ncloud = 7\n[settings.Quota]\nsockets = 7\n[SETTINGS.cloud]\nrps = 7.0\n[[Seeds]]\nzone = 7\n"
+		if got, err := Parse([]byte(text)); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v, error %v; want %+v", kind, got, err, want)
+		}
+	}
+	_, err = Parse([]byte(strings.Replace(file, "count = 2", "Count = 2\ncount = true", 1)))
+	if err == nil || !strings.Contains(err.Error(), "field count: ") {
+		t.Errorf("a field of the wrong type beside one in other case: %v, want an error that names count", err)
+	}
+}
+
 // TestNextLimits checks that the effective limits are the smaller of the current and the next ones.
 func TestNextLimits(t *testing.T) {
 	parseLimits := func(next string) StateLimits {
@@ -116,6 +148,7 @@
 	for text, field := range map[string]string{
 		`placement { cold_starts: 4 preempt: false } fleet { lost_after_s: 20 }`: "",
 		`placement { cold_start: 4 }`:                                            "cold_start",
+		`placement { Cold_starts: 4 }`:                                           "Cold_starts",
 		`fleet { lost_after_s: 3 }`:                                              "fleet.lost_after_s",
 		`users { retry_after_s: 99 }`:                                            "users.retry_after_s",
 	} {
