One place reads the message of an error response

The clients of the state service and the cloud and the command line each decoded the body of an error into wire.ErrorBody. wire.ErrorMessage does it for all three, with a test.

--- a/cmd/maddermill/cwl.go
+++ b/cmd/maddermill/cwl.go
@@ -108,9 +108,8 @@
 		return nil, err
 	}
 	if response.Status/100 != 2 {
-		var problem wire.ErrorBody
-		if exactjson.Unmarshal(response.Body, &problem) == nil && problem.Error != "" {
-			return nil, fmt.Errorf("status %d: %s", response.Status, problem.Error)
+		if message := wire.ErrorMessage(response.Body); message != "" {
+			return nil, fmt.Errorf("status %d: %s", response.Status, message)
 		}
 		return nil, fmt.Errorf("status %d: %s", response.Status, response.Body)
 	}
--- a/internal/leader/cloud/cloud.go
+++ b/internal/leader/cloud/cloud.go
@@ -98,9 +98,7 @@
 
 // refusalError returns the error for a response that rejects a request: ErrNoCapacity or ErrRefused.
 func refusalError(body []byte) error {
-	var problem wire.ErrorBody
-	_ = exactjson.Unmarshal(body, &problem) // a body that can't be decoded counts as ErrRefused
-	if problem.Error == noCapacityMessage {
+	if wire.ErrorMessage(body) == noCapacityMessage {
 		return ErrNoCapacity
 	}
 	return ErrRefused
--- a/internal/state/kvstore/client.go
+++ b/internal/state/kvstore/client.go
@@ -158,9 +158,7 @@
 		}
 		return result.Revision, err
 	}
-	var body wire.ErrorBody
-	_ = exactjson.Unmarshal(resp.Body, &body) // a body in any other form is included in the error below
-	if body.Error == leaseNotFoundBody {
+	if wire.ErrorMessage(resp.Body) == leaseNotFoundBody {
 		return 0, ErrLeaseNotFound
 	}
 	return 0, unexpectedStatus(resp)
--- a/wire/jobs.go
+++ b/wire/jobs.go
@@ -209,3 +209,12 @@
 type ErrorBody struct {
 	Error string `json:"error"`
 }
+
+// ErrorMessage returns the message in the body of an error response, or "" if it isn't an ErrorBody.
+func ErrorMessage(body []byte) string {
+	var decoded ErrorBody
+	if exactjson.Unmarshal(body, &decoded) != nil {
+		return ""
+	}
+	return decoded.Error
+}
--- a/wire/names_test.go
+++ b/wire/names_test.go
@@ -95,3 +95,18 @@
 		}
 	}
 }
+
+// TestErrorMessage checks the message of an error response, also beside an unknown field that differs in case alone,
+// and of bodies that are none.
+func TestErrorMessage(t *testing.T) {
+	for _, body := range unknownfield.Variants(`{"error":"no capacity"}`) {
+		if got := wire.ErrorMessage([]byte(body)); got != "no capacity" {
+			t.Errorf("%s: got %q, want no capacity", body, got)
+		}
+	}
+	for _, body := range []string{"", "no capacity", `{"error":7}`, `["error"]`, `{"Error":"no capacity"}`} {
+		if got := wire.ErrorMessage([]byte(body)); got != "" {
+			t.Errorf("%s: got %q, want none", body, got)
+		}
+	}
+}
