--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,28 +23,30 @@
 	config                            string
 	log                               *os.File
 
-	mu      sync.Mutex // guards the fields below
-	process *exec.Cmd
-	ended   chan struct{}
-	stopped bool // by the run
-	healthy bool
-	misses  int
+	mu       sync.Mutex // guards the fields below
+	process  *exec.Cmd
+	ended    chan struct{}
+	stopped  bool // by the run
+	platform bool // killed by the platform
+	healthy  bool
+	misses   int
 }
 
 // fleet is the controllers with the links between them and the outside.
 type fleet struct {
-	site      *site
-	world     *world
-	rec       *recorder
-	dir       string
-	command   []string
-	members   []*member
-	links     [][]*link // from a member to another
-	cloudAddr string
-	store     *store
-	cloud     *cloud
-	ctx       context.Context
-	crashes   int
+	site       *site
+	world      *world
+	rec        *recorder
+	dir        string
+	command    []string
+	members    []*member
+	links      [][]*link // from a member to another
+	cloudAddr  string
+	store      *store
+	cloud      *cloud
+	ctx        context.Context
+	crashes    atomic.Int64 // ends of controllers by themselves
+	overMemory atomic.Int64 // kills of controllers for their memory
 
 	mu      sync.Mutex
 	cutFrom map[string]map[int]bool // zones whose workers can't reach a node
@@ -211,30 +214,49 @@
 	args := append(append([]string(nil), f.command[1:]...), m.config)
 	cmd := exec.Command(f.command[0], args...) //nolint:noctx // ended by stopAll
 	cmd.Stderr, cmd.Env = m.log, append(os.Environ(), "LOG_LEVEL=info")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped || f.closed() {
+		return context.Canceled
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	f.rec.line("fleet", "%s starts, process %d", m.name, cmd.Process.Pid)
-	m.mu.Lock()
-	m.process, m.ended, m.stopped = cmd, make(chan struct{}), false
+	m.process, m.ended = cmd, make(chan struct{})
 	ended := m.ended
-	m.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		m.mu.Lock()
-		byUs := m.stopped
+		byRun, byPlatform := m.stopped, m.platform
+		m.platform = false
 		m.mu.Unlock()
 		f.rec.line("fleet", "%s ended: %v", m.name, err)
-		if !byUs {
-			f.mu.Lock()
-			f.crashes++
-			f.mu.Unlock()
+		if !byRun && !byPlatform {
+			f.crashes.Add(1)
+		}
+		if !byRun {
+			time.AfterFunc(f.site.backAfter, func() { f.restart(i) })
 		}
 		close(ended)
 	}()
 	return nil
 }
 
+// restart starts a controller again that ended by itself, as the platform does.
+func (f *fleet) restart(i int) {
+	m := f.members[i]
+	m.mu.Lock()
+	stopped := m.stopped
+	m.mu.Unlock()
+	if stopped || f.closed() {
+		return
+	}
+	if err := f.start(i); err != nil {
+		f.rec.line("fleet", "%s does not start: %v", m.name, err)
+	}
+}
+
 // kill ends a controller at once.
 func (f *fleet) kill(i int) {
 	m := f.members[i]
--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // team is a team of the settings.
@@ -26,6 +27,7 @@
 	sockets                             int
 	skewMS                              float64
 	flavor                              flavor
+	backAfter                           time.Duration // an end, the platform has a controller back
 }
 
 // galleries is hollinsend-galleries as the brief and the deploy page describe it.
@@ -36,7 +38,7 @@
 		nodeZones: []string{"soar", "trent", "tame"},
 		reportS:   3, leaseS: 30, gangWait: 50, gangPeer: 5, cancelS: 60,
 		stateRPS: 250, stateWriteRPS: 50, valueKB: 32, txnOps: 40,
-		cloudRPS: 2, listLag: 8, cpuShare: 0.3, ramMB: 234, sockets: 2500, skewMS: 100,
+		cloudRPS: 2, listLag: 8, backAfter: 4 * time.Second, cpuShare: 0.3, ramMB: 234, sockets: 2500, skewMS: 100,
 		flavor: flavor{SKU: "darkroom16", Cores: 16, Accelerators: 2, RAM: 96, LocalGB: 150, FetchRate: 1,
 			Price: 6.41, MarketPrice: 1.86, StartupS: 45, Yards: []string{"soar", "tame", "trent", "wreake"}},
 		objectives: `
@@ -85,7 +87,7 @@
 		teams:     []team{{name: "haneul"}, {name: "saebyeok"}},
 		reportS:   3, leaseS: 36, gangWait: 35, gangPeer: 8, cancelS: 61,
 		stateRPS: 120, stateWriteRPS: 25, valueKB: 4, txnOps: 12,
-		cloudRPS: 2, listLag: 4, cpuShare: 0.12, ramMB: 125, sockets: 1200, skewMS: 250,
+		cloudRPS: 2, listLag: 4, backAfter: 8 * time.Second, cpuShare: 0.12, ramMB: 125, sockets: 1200, skewMS: 250,
 		flavor: flavor{SKU: "gyeol48", Cores: 48, Accelerators: 4, RAM: 288, LocalGB: 150, FetchRate: 1,
 			Price: 13.58, MarketPrice: 3.56, StartupS: 60, Yards: []string{"mapo", "suyeong", "yuseong"}},
 		objectives: `
